--- /dev/null
+++ b/src/core/engine.cpp
@@ -0,0 +1,190 @@
+#include "core/engine.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace walnutspur::core {
+
+Engine::Engine(const hitchhold::Settings& settings, std::uint64_t seed)
+    : scheduler_(settings, seed), try_limit_(settings.try_limit) {}
+
+std::vector<Output> Engine::Start(Time now) {
+  now_ = now;
+  Play(hitchhold::Started{});
+  return std::exchange(outputs_, {});
+}
+
+std::vector<Output> Engine::Handle(const Input& input, Time now) {
+  now_ = std::max(now_, now);
+  std::visit([this](const auto& i) { On(i); }, input);
+  return std::exchange(outputs_, {});
+}
+
+void Engine::Play(const hitchhold::Event& event) {
+  pending_.push_back(event);
+  while (!pending_.empty()) {
+    const hitchhold::Event next = std::move(pending_.front());
+    pending_.erase(pending_.begin());
+    for (const hitchhold::Action& action : scheduler_.Handle(next, now_))
+      std::visit([this](const auto& a) { Do(a); }, action);
+  }
+}
+
+// ---- inputs ----
+
+void Engine::On(const Arrived& input) {
+  Request request;
+  request.wire = input.wire;
+  request.deadline = input.deadline;
+  request.payload = input.payload;
+  if (!requests_.emplace(input.serial, std::move(request)).second) return;
+  hitchhold::Arrival arrival = input.what;
+  arrival.id = std::to_string(input.serial);  // clients may repeat their ids, the module must not see that
+  arrival.ttl = input.deadline - now_;
+  Play(arrival);
+}
+
+void Engine::On(const Departed& input) {
+  const auto at = requests_.find(input.serial);
+  if (at == requests_.end() || at->second.answered) return;
+  at->second.answered = true;
+  Play(hitchhold::Abandoned{std::to_string(input.serial)});
+  Forget(input.serial);
+}
+
+// Guards against a request whose deadline passes unnoticed: attempts end on their own timers first, and held
+// requests are swept by the module. What is still open now is timed out, whatever its attempts say later.
+void Engine::On(const Expired& input) {
+  auto at = requests_.find(input.serial);
+  if (at == requests_.end() || at->second.answered) return;
+  const auto out = at->second.out;
+  for (const auto& [trial, target] : out) {
+    at = requests_.find(input.serial);
+    if (at == requests_.end()) return;
+    outputs_.push_back(Cancel{input.serial, trial, at->second.wire});
+    Ended ended;
+    ended.serial = input.serial;
+    ended.trial = trial;
+    ended.outcome = Outcome::kOverdue;
+    Report(at, ended);
+  }
+  at = requests_.find(input.serial);
+  if (at == requests_.end() || at->second.answered) return;
+  Finish(input.serial, Verdict::kTimedOut, 0, nullptr);
+  Play(hitchhold::Abandoned{std::to_string(input.serial)});
+  Forget(input.serial);
+}
+
+void Engine::On(const Ended& input) {
+  const auto at = requests_.find(input.serial);
+  if (at == requests_.end()) return;
+  Report(at, input);
+}
+
+void Engine::On(const Listed& input) {
+  Play(input.list);
+  for (const hitchhold::ListEntry& entry : input.list.entries) {
+    if (entry.phase != hitchhold::Phase::kLive) outputs_.push_back(Withdraw{entry.target});
+  }
+}
+
+void Engine::On(const Rang& input) { Play(hitchhold::Bell{input.mark}); }
+
+void Engine::On(const Probed& input) { Play(input.result); }
+
+// Each attempt's outcome reaches the module once: a second report of it, or one of an attempt that was given
+// up by the deadline, finds nothing here.
+void Engine::Report(Requests::iterator at, const Ended& input) {
+  Request& request = at->second;
+  const auto attempt = request.out.find(input.trial);
+  if (attempt == request.out.end()) return;
+  hitchhold::Done done;
+  done.id = std::to_string(input.serial);
+  done.trial = input.trial;
+  done.target = std::move(attempt->second);
+  done.outcome = input.outcome;
+  done.delay = input.delay;
+  done.seen_use = input.seen_use;
+  done.others_got = input.others_got;
+  done.report = input.report;
+  request.out.erase(attempt);
+  if (input.outcome == Outcome::kCompleted) Finish(input.serial, Verdict::kServed, 0, input.payload);
+  done.settled = request.answered;
+  Play(done);
+  Forget(input.serial);
+}
+
+// ---- actions ----
+
+Engine::Requests::iterator Engine::Find(const hitchhold::RequestId& id) {
+  Serial serial = 0;
+  std::from_chars(id.data(), id.data() + id.size(), serial);
+  return requests_.find(serial);
+}
+
+void Engine::Do(const hitchhold::Send& action) {
+  const auto at = Find(action.id);
+  if (at == requests_.end()) return;
+  Request& request = at->second;
+  const int trial = request.attempts;
+  const Time left = request.deadline - now_;
+  // A moot send is not transmitted and uses up no attempt of the request.
+  if (request.answered || trial >= try_limit_ || left <= 0 || action.try_for < 0) {
+    hitchhold::Done done;
+    done.id = action.id;
+    done.trial = request.attempts++;
+    done.target = action.target;
+    done.outcome = Outcome::kSuperseded;
+    done.settled = request.answered;
+    pending_.push_back(done);
+    return;
+  }
+  ++request.attempts;
+  request.out.emplace(trial, action.target);
+  const Time limit = action.try_for > 0 ? std::min(action.try_for, left) : left;
+  outputs_.push_back(Attempt{at->first, trial, request.wire, action.target, limit, request.payload});
+}
+
+void Engine::Do(const hitchhold::Refuse& action) {
+  const auto at = Find(action.id);
+  if (at == requests_.end()) return;
+  Finish(at->first, Verdict::kRefused, action.hold_off, nullptr);
+  Forget(at->first);
+}
+
+void Engine::Do(const hitchhold::Fail& action) {
+  const auto at = Find(action.id);
+  if (at == requests_.end()) return;
+  const bool late = now_ >= at->second.deadline;
+  Finish(at->first, late ? Verdict::kTimedOut : Verdict::kFailed, 0, nullptr);
+  Forget(at->first);
+}
+
+void Engine::Do(const hitchhold::Wake& action) { outputs_.push_back(Ring{action.mark, action.after}); }
+
+void Engine::Do(const hitchhold::Retract& action) {
+  const auto at = Find(action.id);
+  if (at == requests_.end() || !at->second.out.contains(action.trial)) return;
+  outputs_.push_back(Cancel{at->first, action.trial, at->second.wire});
+}
+
+void Engine::Do(const hitchhold::Probe& action) { outputs_.push_back(Check{action.target}); }
+
+void Engine::Do(const hitchhold::Subscribe&) { outputs_.push_back(Watch{}); }
+
+// Exactly one final answer: whoever comes second finds the request answered.
+void Engine::Finish(Serial serial, Verdict verdict, Time hold_off, PayloadRef payload) {
+  const auto at = requests_.find(serial);
+  if (at == requests_.end() || at->second.answered) return;
+  at->second.answered = true;
+  outputs_.push_back(Answer{serial, at->second.wire, verdict, hold_off, std::move(payload)});
+}
+
+// A request is forgotten once it is answered and nothing of it is out.
+void Engine::Forget(Serial serial) {
+  const auto at = requests_.find(serial);
+  if (at != requests_.end() && at->second.answered && at->second.out.empty()) requests_.erase(at);
+}
+
+}  // namespace walnutspur::core
--- /dev/null
+++ b/src/core/engine.h
@@ -0,0 +1,160 @@
+// The engine: requests, attempts and outcomes, and the table of both. It knows no wire.
+//
+// Fronts turn what clients ask into `Arrived`, connectors carry out `Attempt` and report `Ended`. The engine
+// plays these to the Scheduler as events and turns its actions into outputs. It guards what the Scheduler
+// relies on: one final answer to a request, attempts numbered in order, one outcome to an attempt.
+#ifndef WALNUTSPUR_CORE_ENGINE_H_
+#define WALNUTSPUR_CORE_ENGINE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "hitchhold/scheduler.h"
+
+namespace walnutspur::core {
+
+using hitchhold::Outcome;
+using hitchhold::TargetId;
+using hitchhold::Time;
+
+using Serial = std::uint64_t;  // numbers the requests that one process has taken
+
+enum class Wire { kHttp, kNbd };  // whose front and connector a request belongs to
+
+// What passes through unchanged. Only the fronts and connectors of one wire look inside.
+struct Payload {
+  virtual ~Payload() = default;
+};
+using PayloadRef = std::shared_ptr<const Payload>;
+
+// ---- inputs ----
+
+struct Arrived {
+  Serial serial = 0;
+  Wire wire = Wire::kHttp;
+  hitchhold::Arrival what;  // id and ttl are filled in by the engine
+  Time deadline = 0;        // when the client stops waiting
+  PayloadRef payload;
+};
+struct Departed {  // the client has closed its connection
+  Serial serial = 0;
+};
+struct Expired {  // the deadline of the client has passed
+  Serial serial = 0;
+};
+struct Ended {
+  Serial serial = 0;
+  int trial = 0;
+  Outcome outcome = Outcome::kCompleted;
+  Time delay = 0;
+  int seen_use = 0;
+  double others_got = 0;
+  std::vector<double> report;
+  PayloadRef payload;  // the answer, if completed
+};
+struct Listed {
+  hitchhold::Membership list;
+};
+struct Rang {
+  std::int64_t mark = 0;
+};
+struct Probed {
+  hitchhold::ProbeDone result;
+};
+using Input = std::variant<Arrived, Departed, Expired, Ended, Listed, Rang, Probed>;
+
+// ---- outputs ----
+
+struct Attempt {
+  Serial serial = 0;
+  int trial = 0;
+  Wire wire = Wire::kHttp;
+  TargetId target;
+  Time limit = 0;  // how long to wait for the answer
+  PayloadRef payload;
+};
+struct Cancel {
+  Serial serial = 0;
+  int trial = 0;
+  Wire wire = Wire::kHttp;
+};
+struct Withdraw {  // nothing that is not on its way yet may go to the target any more
+  TargetId target;
+};
+enum class Verdict { kServed, kRefused, kFailed, kTimedOut };
+struct Answer {
+  Serial serial = 0;
+  Wire wire = Wire::kHttp;
+  Verdict verdict = Verdict::kFailed;
+  Time hold_off = 0;  // refused: when to come back
+  PayloadRef payload;
+};
+struct Ring {
+  std::int64_t mark = 0;
+  Time after = 0;
+};
+struct Watch {};
+struct Check {
+  TargetId target;
+};
+using Output = std::variant<Attempt, Cancel, Withdraw, Answer, Ring, Watch, Check>;
+
+class Engine {
+ public:
+  Engine(const hitchhold::Settings& settings, std::uint64_t seed);
+
+  std::vector<Output> Start(Time now);
+  // Takes one input that happens at `now`; returns what to do, in order.
+  std::vector<Output> Handle(const Input& input, Time now);
+
+  std::size_t open() const { return requests_.size(); }  // requests with something outstanding
+
+ private:
+  struct Request {
+    Wire wire = Wire::kHttp;
+    Time deadline = 0;
+    PayloadRef payload;
+    bool answered = false;
+    int attempts = 0;
+    std::map<int, TargetId> out;  // attempts without an outcome, by number
+  };
+  using Requests = std::unordered_map<Serial, Request>;
+
+  void On(const Arrived& input);
+  void On(const Departed& input);
+  void On(const Expired& input);
+  void On(const Ended& input);
+  void On(const Listed& input);
+  void On(const Rang& input);
+  void On(const Probed& input);
+
+  void Do(const hitchhold::Send& action);
+  void Do(const hitchhold::Refuse& action);
+  void Do(const hitchhold::Fail& action);
+  void Do(const hitchhold::Wake& action);
+  void Do(const hitchhold::Retract& action);
+  void Do(const hitchhold::Probe& action);
+  void Do(const hitchhold::Subscribe& action);
+
+  void Play(const hitchhold::Event& event);
+  void Report(Requests::iterator at, const Ended& input);
+  void Finish(Serial serial, Verdict verdict, Time hold_off, PayloadRef payload);
+  void Forget(Serial serial);
+  Requests::iterator Find(const hitchhold::RequestId& id);
+
+  hitchhold::Scheduler scheduler_;
+  int try_limit_;
+  Time now_ = 0;
+  Requests requests_;
+  std::vector<Output> outputs_;
+  std::vector<hitchhold::Event> pending_;  // events that actions caused, played after them
+};
+
+}  // namespace walnutspur::core
+
+#endif  // WALNUTSPUR_CORE_ENGINE_H_
--- /dev/null
+++ b/src/core/port.h
@@ -0,0 +1,32 @@
+// What the engine's outputs drive: a front answers clients, a connector carries out attempts.
+#ifndef WALNUTSPUR_CORE_PORT_H_
+#define WALNUTSPUR_CORE_PORT_H_
+
+#include <functional>
+
+#include "core/engine.h"
+
+namespace walnutspur::core {
+
+using Post = std::function<void(Input)>;
+
+class Front {
+ public:
+  virtual ~Front() = default;
+  virtual void Finish(const Answer& answer) = 0;
+  virtual std::size_t held() const = 0;  // requests taken and not answered
+  virtual void Drain() = 0;              // from now on connections end with their next answer
+  virtual std::size_t connections() const = 0;
+};
+
+class Connector {
+ public:
+  virtual ~Connector() = default;
+  virtual void Start(const Attempt& attempt) = 0;
+  virtual void Stop(Serial serial, int trial) = 0;
+  virtual void Withdraw(const TargetId& target) = 0;
+};
+
+}  // namespace walnutspur::core
+
+#endif  // WALNUTSPUR_CORE_PORT_H_
--- /dev/null
+++ b/src/core/queue.h
@@ -0,0 +1,58 @@
+// The only way between the thread that owns the Scheduler and the thread that owns the sockets.
+#ifndef WALNUTSPUR_CORE_QUEUE_H_
+#define WALNUTSPUR_CORE_QUEUE_H_
+
+#include <condition_variable>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace walnutspur::core {
+
+template <typename T>
+class Queue {
+ public:
+  // Returns whether the queue was empty: then its reader needs to be woken.
+  bool Push(std::vector<T> items) {
+    if (items.empty()) return false;
+    const std::lock_guard lock(mutex_);
+    const bool was_empty = items_.empty();
+    for (T& item : items) items_.push_back(std::move(item));
+    filled_.notify_one();
+    return was_empty;
+  }
+  bool Push(T item) {
+    std::vector<T> items;
+    items.push_back(std::move(item));
+    return Push(std::move(items));
+  }
+
+  // Takes all there is, at once.
+  std::vector<T> Take() {
+    const std::lock_guard lock(mutex_);
+    return std::exchange(items_, {});
+  }
+
+  // Waits until there is something or the queue is closed; empty then.
+  std::vector<T> Wait() {
+    std::unique_lock lock(mutex_);
+    filled_.wait(lock, [this] { return closed_ || !items_.empty(); });
+    return std::exchange(items_, {});
+  }
+
+  void Close() {
+    const std::lock_guard lock(mutex_);
+    closed_ = true;
+    filled_.notify_all();
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable filled_;
+  std::vector<T> items_;
+  bool closed_ = false;
+};
+
+}  // namespace walnutspur::core
+
+#endif  // WALNUTSPUR_CORE_QUEUE_H_
--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,77 @@
+#include "net/config.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <stdexcept>
+
+#include "wire.h"
+
+namespace walnutspur::net {
+namespace {
+
+using nlohmann::json;
+
+std::vector<std::string> ParseNames(const json& list) {
+  std::vector<std::string> names;
+  for (const json& item : list)
+    names.push_back(item.is_object() ? item.at("name").get<std::string>() : item.get<std::string>());
+  return names;
+}
+
+}  // namespace
+
+Address ParseAddress(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  Address address;
+  if (colon != std::string::npos && colon > 0) {
+    address.host = text.substr(0, colon);
+    const char* end = text.data() + text.size();
+    const auto [at, error] = std::from_chars(text.data() + colon + 1, end, address.port);
+    if (error == std::errc() && at == end) return address;
+  }
+  throw std::runtime_error("'" + text + "' is not an address with a port");
+}
+
+int IndexOf(const std::vector<std::string>& names, const std::string& name) {
+  const auto at = std::find(names.begin(), names.end(), name);
+  return at == names.end() ? -1 : static_cast<int>(at - names.begin());
+}
+
+Config ParseConfig(const json& j) {
+  Config c;
+  c.name = j.value("name", "initiator");
+  c.listen = ParseAddress(j.at("listen").get<std::string>());
+  c.discovery = ParseAddress(j.at("discovery").get<std::string>());
+  const std::string seed = j.value("seed", "0");
+  const auto [at, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
+  if (error != std::errc() || at != seed.data() + seed.size())
+    throw std::runtime_error("'seed' is not a hexadecimal number");
+  c.sockets = j.value("limits", json::object()).value("sockets", c.sockets);
+  const json& settings = j.at("settings");
+  c.settings = hitchhold::wire::ParseSettings(settings);
+  if (c.settings.classes.empty()) throw std::runtime_error("'settings' has no classes");
+  c.names.classes = ParseNames(settings.at("classes"));
+  c.names.plans = ParseNames(settings.value("policies", json::array()));
+  c.names.zones = ParseNames(settings.value("zones", json::array()));
+  c.names.kinds = ParseNames(settings.value("hostTypes", json::array()));
+  c.shards = settings.value("extra", json::object()).value("shards", 0);
+  const json limits = settings.value("limits", json::object());
+  c.idle = limits.value("connIdle", c.idle);
+  c.dial = limits.value("dialTimeout", c.dial);
+  for (const auto& cls : c.settings.classes) c.longest_deadline = std::max(c.longest_deadline, cls.deadline);
+  c.known = j.value("known", json());
+  return c;
+}
+
+Config LoadConfig(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error("cannot read " + path);
+  try {
+    return ParseConfig(json::parse(file));
+  } catch (const std::exception& error) {
+    throw std::runtime_error(path + ": " + error.what());
+  }
+}
+
+}  // namespace walnutspur::net
--- /dev/null
+++ b/src/net/discovery.h
@@ -0,0 +1,44 @@
+// Watches discovery for the list of targets.
+#ifndef WALNUTSPUR_NET_DISCOVERY_H_
+#define WALNUTSPUR_NET_DISCOVERY_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/port.h"
+#include "net/config.h"
+#include "net/loop.h"
+#include "net/messages.h"
+
+namespace walnutspur::net {
+
+class Discovery {
+ public:
+  using OnList = std::function<void(hitchhold::Membership, const TargetList&)>;
+
+  Discovery(event_base* base, const Config& config, OnList on_list);
+
+  // Opens a watch from the revision held last, in place of any that is open.
+  void Watch();
+  void Adopt(const TargetList& list) { revision_ = list.revision; }
+
+ private:
+  void OnChunk(evhttp_request* answer);
+  void OnLine(const std::string& line);
+  void OnEnd();
+  void Close();
+
+  event_base* base_;
+  const Config& config_;
+  OnList on_list_;
+  long revision_ = 0;
+  bool open_ = false;
+  std::string partial_;
+  Watcher silence_, sweep_;
+  std::unique_ptr<evhttp_connection, Freed<evhttp_connection_free>> link_, old_;
+};
+
+}  // namespace walnutspur::net
+
+#endif  // WALNUTSPUR_NET_DISCOVERY_H_
--- /dev/null
+++ b/src/net/http_targets.h
@@ -0,0 +1,80 @@
+// Carries out attempts by HTTP: a pool of connections to targets, one attempt at a time on each.
+#ifndef WALNUTSPUR_NET_HTTP_TARGETS_H_
+#define WALNUTSPUR_NET_HTTP_TARGETS_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/port.h"
+#include "net/config.h"
+#include "net/loop.h"
+#include "net/messages.h"
+
+struct evbuffer;
+struct evbuffer_cb_info;
+
+namespace walnutspur::net {
+
+class HttpTargets : public core::Connector {
+ public:
+  HttpTargets(event_base* base, const Config& config, core::Post post);
+  ~HttpTargets() override;
+
+  // Where a target listens; it may move.
+  void Learn(const core::TargetId& target, const std::string& address);
+
+  void Start(const core::Attempt& attempt) override;
+  void Stop(core::Serial serial, int trial) override;
+  void Withdraw(const core::TargetId& target) override;
+  void Probe(const core::TargetId& target);
+
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  using Key = std::pair<core::Serial, int>;  // an attempt; serial 0: a probe
+
+  struct Connection {
+    HttpTargets* owner = nullptr;
+    std::uint64_t number = 0;
+    core::TargetId target;
+    std::optional<Key> attempt;
+    core::Time sent = 0;
+    bool connected = false;  // it has come up
+    bool written = false;    // the attempt's last byte has left
+    bool closed = false;     // evhttp has closed it
+    Watcher connect, limit, idle;
+    std::unique_ptr<evhttp_connection, Freed<evhttp_connection_free>> link;
+  };
+
+  Connection* Open(const core::TargetId& target);
+  Connection* TakeIdle(const core::TargetId& target);
+  bool MakeRoom();
+  void Launch(const Key& key, const core::TargetId& target, core::Time limit, const HttpRequest* request);
+  void OnOutput(Connection& connection, const evbuffer_cb_info& info, std::size_t left);
+  void OnAnswer(Connection& connection, evhttp_request* answer);
+  void Break(Connection& connection, core::Outcome outcome);
+  void Report(Connection& connection, core::Ended ended);
+  void Discard(Connection& connection);
+  void KeepIdle(Connection& connection);
+
+  event_base* base_;
+  const Config& config_;
+  core::Post post_;
+  std::size_t most_;
+  std::uint64_t next_ = 1;
+  std::uint64_t probes_ = 0;
+  std::map<core::TargetId, std::string> addresses_;
+  std::map<core::TargetId, std::vector<Connection*>> idle_;  // the one used last at the end
+  std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
+  std::map<Key, Connection*> attempts_;
+  std::vector<std::unique_ptr<Connection>> discarded_;  // freed outside of their own callbacks
+  Watcher sweep_;
+};
+
+}  // namespace walnutspur::net
+
+#endif  // WALNUTSPUR_NET_HTTP_TARGETS_H_
