--- a/examples/embed.cpp
+++ b/examples/embed.cpp
@@ -4,9 +4,9 @@
 #include <deque>
 #include <variant>
 
-#include "hitchhold/scheduler.h"
+#include "walnutspur/scheduler.h"
 
-namespace hh = hitchhold;
+namespace hh = walnutspur;
 
 int main() {
   hh::Settings settings;
--- a/include/hitchhold/scheduler.h
+++ b/include/walnutspur/scheduler.h
@@ -1,4 +1,4 @@
-// hitchhold: the decisions of a host-side I/O scheduler for a shared disk pool.
+// walnutspur: the decisions of a host-side I/O scheduler for a shared disk pool.
 //
 // This file is the whole interface: settings, events, actions and the class Scheduler. One Scheduler serves
 // one initiator. It owns no thread, clock or socket: the initiator hands it each event with the time at
@@ -6,8 +6,8 @@
 // events give equal actions.
 //
 // All times are integer microseconds of one clock that never runs backwards.
-#ifndef HITCHHOLD_SCHEDULER_H_
-#define HITCHHOLD_SCHEDULER_H_
+#ifndef WALNUTSPUR_SCHEDULER_H_
+#define WALNUTSPUR_SCHEDULER_H_
 
 #include <cstdint>
 #include <memory>
@@ -16,7 +16,7 @@
 #include <variant>
 #include <vector>
 
-namespace hitchhold {
+namespace walnutspur {
 
 using Time = std::int64_t;
 using RequestId = std::string;
@@ -206,6 +206,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace hitchhold
+}  // namespace walnutspur
 
-#endif  // HITCHHOLD_SCHEDULER_H_
+#endif  // WALNUTSPUR_SCHEDULER_H_
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -14,13 +14,13 @@
 #include <variant>
 #include <vector>
 
-#include "hitchhold/scheduler.h"
+#include "walnutspur/scheduler.h"
 
 namespace walnutspur::core {
 
-using hitchhold::Outcome;
-using hitchhold::TargetId;
-using hitchhold::Time;
+using walnutspur::Outcome;
+using walnutspur::TargetId;
+using walnutspur::Time;
 
 using Serial = std::uint64_t;  // numbers the requests that one process has taken
 
@@ -37,8 +37,8 @@
 struct Arrived {
   Serial serial = 0;
   Wire wire = Wire::kHttp;
-  hitchhold::Arrival what;  // id and ttl are filled in by the engine
-  Time deadline = 0;        // when the client stops waiting
+  walnutspur::Arrival what;  // id and ttl are filled in by the engine
+  Time deadline = 0;         // when the client stops waiting
   PayloadRef payload;
 };
 struct Departed {  // the client has closed its connection
@@ -58,13 +58,13 @@
   PayloadRef payload;  // the answer, if completed
 };
 struct Listed {
-  hitchhold::Membership list;
+  walnutspur::Membership list;
 };
 struct Rang {
   std::int64_t mark = 0;
 };
 struct Probed {
-  hitchhold::ProbeDone result;
+  walnutspur::ProbeDone result;
 };
 using Input = std::variant<Arrived, Departed, Expired, Ended, Listed, Rang, Probed>;
 
@@ -106,7 +106,7 @@
 
 class Engine {
  public:
-  Engine(const hitchhold::Settings& settings, std::uint64_t seed);
+  Engine(const walnutspur::Settings& settings, std::uint64_t seed);
 
   std::vector<Output> Start(Time now);
   // Takes one input that happens at `now`; returns what to do, in order.
@@ -133,26 +133,26 @@
   void On(const Rang& input);
   void On(const Probed& input);
 
-  void Do(const hitchhold::Send& action);
-  void Do(const hitchhold::Refuse& action);
-  void Do(const hitchhold::Fail& action);
-  void Do(const hitchhold::Wake& action);
-  void Do(const hitchhold::Retract& action);
-  void Do(const hitchhold::Probe& action);
-  void Do(const hitchhold::Subscribe& action);
+  void Do(const walnutspur::Send& action);
+  void Do(const walnutspur::Refuse& action);
+  void Do(const walnutspur::Fail& action);
+  void Do(const walnutspur::Wake& action);
+  void Do(const walnutspur::Retract& action);
+  void Do(const walnutspur::Probe& action);
+  void Do(const walnutspur::Subscribe& action);
 
-  void Play(const hitchhold::Event& event);
+  void Play(const walnutspur::Event& event);
   void Report(Requests::iterator at, const Ended& input);
   void Finish(Serial serial, Verdict verdict, Time hold_off, PayloadRef payload);
   void Forget(Serial serial);
-  Requests::iterator Find(const hitchhold::RequestId& id);
+  Requests::iterator Find(const walnutspur::RequestId& id);
 
-  hitchhold::Scheduler scheduler_;
+  walnutspur::Scheduler scheduler_;
   int try_limit_;
   Time now_ = 0;
   Requests requests_;
   std::vector<Output> outputs_;
-  std::vector<hitchhold::Event> pending_;  // events that actions caused, played after them
+  std::vector<walnutspur::Event> pending_;  // events that actions caused, played after them
 };
 
 }  // namespace walnutspur::core
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -1,4 +1,4 @@
-// Every decision of hitchhold. The types, events and actions are in include/hitchhold/scheduler.h.
+// Every decision of walnutspur. The types, events and actions are in include/walnutspur/scheduler.h.
 //
 // The path of a request: arrival -> queue of its stream (volume and cell) -> the stream's tokens cover the
 // head (unthrottled streams pass) -> among the heads at a node, grade and plan-weighted start tag choose
@@ -12,9 +12,9 @@
 #include <set>
 #include <unordered_map>
 
-#include "hitchhold/scheduler.h"
+#include "walnutspur/scheduler.h"
 
-namespace hitchhold {
+namespace walnutspur {
 namespace {
 
 // ---- tuned values ----
@@ -921,4 +921,4 @@
 
 std::vector<Action> Scheduler::Handle(const Event& event, Time now) { return impl_->Handle(event, now); }
 
-}  // namespace hitchhold
+}  // namespace walnutspur
--- a/src/drill.cpp
+++ b/src/drill.cpp
@@ -1,4 +1,4 @@
-// hitchhold_drill: plays the bench's wire on standard input and output to instances of the module.
+// walnutspur_drill: plays the bench's wire on standard input and output to instances of the module.
 #include <cstdio>
 #include <exception>
 #include <iostream>
@@ -8,7 +8,7 @@
 
 int main() {
   std::ios::sync_with_stdio(false);
-  hitchhold::wire::Host host;
+  walnutspur::wire::Host host;
   std::string line;
   std::string reply;
   long number = 0;
@@ -18,12 +18,12 @@
     try {
       if (host.Line(line, &reply)) std::cout << reply << std::flush;
     } catch (const std::exception& error) {
-      std::cerr << "hitchhold_drill: line " << number << ": " << error.what() << '\n';
+      std::cerr << "walnutspur_drill: line " << number << ": " << error.what() << '\n';
       return 1;
     }
   }
   if (host.InBatch()) {
-    std::cerr << "hitchhold_drill: input ended inside a batch\n";
+    std::cerr << "walnutspur_drill: input ended inside a batch\n";
     return 1;
   }
   return 0;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -49,7 +49,7 @@
     throw std::runtime_error("'seed' is not a hexadecimal number");
   c.sockets = j.value("limits", json::object()).value("sockets", c.sockets);
   const json& settings = j.at("settings");
-  c.settings = hitchhold::wire::ParseSettings(settings);
+  c.settings = walnutspur::wire::ParseSettings(settings);
   if (c.settings.classes.empty()) throw std::runtime_error("'settings' has no classes");
   c.names.classes = ParseNames(settings.at("classes"));
   c.names.plans = ParseNames(settings.value("policies", json::array()));
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "hitchhold/scheduler.h"
+#include "walnutspur/scheduler.h"
 
 namespace walnutspur::net {
 
@@ -29,12 +29,12 @@
   Address listen, discovery;
   std::uint64_t seed = 0;
   int sockets = 1024;
-  hitchhold::Settings settings;
+  walnutspur::Settings settings;
   Names names;
   int shards = 0;  // 0: not told
-  hitchhold::Time idle = 30'000'000;
-  hitchhold::Time dial = 250'000;
-  hitchhold::Time longest_deadline = 0;
+  walnutspur::Time idle = 30'000'000;
+  walnutspur::Time dial = 250'000;
+  walnutspur::Time longest_deadline = 0;
   nlohmann::json known;  // the list as it was held last, in discovery's form
 };
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -53,7 +53,7 @@
 void Discovery::OnEnd() {
   if (!open_) return;
   Close();
-  on_list_({hitchhold::Mode::kFailed, {}}, {});
+  on_list_({walnutspur::Mode::kFailed, {}}, {});
 }
 
 void Discovery::OnChunk(evhttp_request* answer) {
@@ -81,7 +81,7 @@
       return OnEnd();
     }
     revision_ = list.revision;
-    on_list_({list.complete ? hitchhold::Mode::kFull : hitchhold::Mode::kDelta, list.entries}, list);
+    on_list_({list.complete ? walnutspur::Mode::kFull : walnutspur::Mode::kDelta, list.entries}, list);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "walnutspur: discovery sent a line that cannot be read: %s\n", error.what());
     OnEnd();
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -15,7 +15,7 @@
 
 class Discovery {
  public:
-  using OnList = std::function<void(hitchhold::Membership, const TargetList&)>;
+  using OnList = std::function<void(walnutspur::Membership, const TargetList&)>;
 
   Discovery(event_base* base, const Config& config, OnList on_list);
 
--- a/src/net/initiator.cpp
+++ b/src/net/initiator.cpp
@@ -32,7 +32,7 @@
   front_ = std::make_unique<HttpFront>(base_.get(), config_, &serials_, post);
   discovery_ = std::make_unique<Discovery>(
       base_.get(), config_,
-      [this](hitchhold::Membership list, const TargetList& raw) { OnList(std::move(list), raw); });
+      [this](walnutspur::Membership list, const TargetList& raw) { OnList(std::move(list), raw); });
   term_ = Watcher(base_.get(), SIGTERM, EV_SIGNAL | EV_PERSIST, [this] { Drain(); });
   interrupt_ = Watcher(base_.get(), SIGINT, EV_SIGNAL | EV_PERSIST, [this] { Drain(); });
   leave_ = MakeTimer(base_.get(), [this] { Leave(); });
@@ -43,7 +43,7 @@
   owner_ = std::make_unique<core::Owner>(config_.settings, config_.seed, [this] { outputs_.Activate(); });
   if (config_.known.is_object()) {
     discovery_->Adopt(known);
-    OnList({hitchhold::Mode::kCached, known.entries}, known);
+    OnList({walnutspur::Mode::kCached, known.entries}, known);
   }
 }
 
@@ -57,11 +57,11 @@
 
 void Initiator::Stop() { term_.Activate(); }
 
-void Initiator::OnList(hitchhold::Membership list, const TargetList& raw) {
+void Initiator::OnList(walnutspur::Membership list, const TargetList& raw) {
   for (std::size_t i = 0; i < raw.entries.size(); ++i) {
     if (!raw.addresses[i].empty()) targets_->Learn(raw.entries[i].target, raw.addresses[i]);
   }
-  if (list.mode != hitchhold::Mode::kFailed) front_->set_ready();
+  if (list.mode != walnutspur::Mode::kFailed) front_->set_ready();
   owner_->Post(core::Listed{std::move(list)});
 }
 
--- a/src/net/initiator.h
+++ b/src/net/initiator.h
@@ -32,7 +32,7 @@
  private:
   void Drain();
   void Leave();
-  void OnList(hitchhold::Membership list, const TargetList& raw);
+  void OnList(walnutspur::Membership list, const TargetList& raw);
 
   void Do(const core::Attempt& output) { connector(output.wire).Start(output); }
   void Do(const core::Cancel& output) { connector(output.wire).Stop(output.serial, output.trial); }
--- a/src/net/messages.cpp
+++ b/src/net/messages.cpp
@@ -55,7 +55,7 @@
 
 std::optional<std::string> ReadRequest(const Config& config, const HttpRequest& request, const Header& header,
                                        core::Arrived* arrived, core::Time* patience) {
-  hitchhold::Arrival& what = arrived->what;
+  walnutspur::Arrival& what = arrived->what;
   if (!IsHex16(request.id)) return "X-Request-Id is not 16 hex digits";
   const std::string_view path = std::string_view(request.uri).substr(0, request.uri.find('?'));
   const std::size_t last = path.rfind('/');
@@ -120,13 +120,13 @@
   list.revision = j.at("revision").get<long>();
   list.complete = j.at("complete").get<bool>();
   for (const json& member : j.at("members")) {
-    hitchhold::ListEntry e;
+    walnutspur::ListEntry e;
     e.target = member.at("id").get<std::string>();
     const auto phase = member.at("phase").get<std::string>();
     // An unknown phase is none in which new work is wanted.
-    e.phase = phase == "SERVING"   ? hitchhold::Phase::kLive
-              : phase == "DELETED" ? hitchhold::Phase::kDead
-                                   : hitchhold::Phase::kQuiescing;
+    e.phase = phase == "SERVING"   ? walnutspur::Phase::kLive
+              : phase == "DELETED" ? walnutspur::Phase::kDead
+                                   : walnutspur::Phase::kQuiescing;
     e.cell = member.value("cell", 0);
     e.zone = std::max(0, IndexOf(config.names.zones, member.value("locality", "")));
     e.kind = std::max(0, IndexOf(config.names.kinds, member.value("flavor", "")));
--- a/src/net/messages.h
+++ b/src/net/messages.h
@@ -35,7 +35,7 @@
 struct TargetList {
   long revision = 0;
   bool complete = false;
-  std::vector<hitchhold::ListEntry> entries;
+  std::vector<walnutspur::ListEntry> entries;
   std::vector<std::string> addresses;  // of the entries; empty: none told
 };
 // Throws std::exception on what is malformed.
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -3,7 +3,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace hitchhold::wire {
+namespace walnutspur::wire {
 namespace {
 
 using nlohmann::json;
@@ -297,4 +297,4 @@
   return false;
 }
 
-}  // namespace hitchhold::wire
+}  // namespace walnutspur::wire
--- a/src/wire.h
+++ b/src/wire.h
@@ -1,6 +1,6 @@
 // The bench's wire: JSON lines to events, actions to JSON lines. No decision is taken here.
-#ifndef HITCHHOLD_SRC_WIRE_H_
-#define HITCHHOLD_SRC_WIRE_H_
+#ifndef WALNUTSPUR_SRC_WIRE_H_
+#define WALNUTSPUR_SRC_WIRE_H_
 
 #include <map>
 #include <memory>
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
-#include "hitchhold/scheduler.h"
+#include "walnutspur/scheduler.h"
 
-namespace hitchhold::wire {
+namespace walnutspur::wire {
 
 Settings ParseSettings(const nlohmann::json& settings);
 
@@ -31,6 +31,6 @@
   std::map<int, std::vector<ListEntry>> lists_;
 };
 
-}  // namespace hitchhold::wire
+}  // namespace walnutspur::wire
 
-#endif  // HITCHHOLD_SRC_WIRE_H_
+#endif  // WALNUTSPUR_SRC_WIRE_H_
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -1,14 +1,14 @@
 // A hand on the module: plays single events and keeps the actions. It models no node.
-#ifndef HITCHHOLD_TESTS_RIG_H_
-#define HITCHHOLD_TESTS_RIG_H_
+#ifndef WALNUTSPUR_TESTS_RIG_H_
+#define WALNUTSPUR_TESTS_RIG_H_
 
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "hitchhold/scheduler.h"
+#include "walnutspur/scheduler.h"
 
-namespace hitchhold::test {
+namespace walnutspur::test {
 
 constexpr Time kMs = 1'000;
 constexpr Time kSec = 1'000'000;
@@ -154,6 +154,6 @@
   std::vector<Action> all_;
 };
 
-}  // namespace hitchhold::test
+}  // namespace walnutspur::test
 
-#endif  // HITCHHOLD_TESTS_RIG_H_
+#endif  // WALNUTSPUR_TESTS_RIG_H_
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -3,7 +3,7 @@
 
 #include "rig.h"
 
-namespace hitchhold::test {
+namespace walnutspur::test {
 namespace {
 
 // ---- 1: no request is lost ----
@@ -489,4 +489,4 @@
 }
 
 }  // namespace
-}  // namespace hitchhold::test
+}  // namespace walnutspur::test
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -3,7 +3,7 @@
 
 #include "rig.h"
 
-namespace hitchhold::test {
+namespace walnutspur::test {
 namespace {
 
 TEST(Path, AnUnthrottledRequestLeavesAtOnce) {
@@ -484,4 +484,4 @@
 }
 
 }  // namespace
-}  // namespace hitchhold::test
+}  // namespace walnutspur::test
