--- a/include/walnutspur/scheduler.h
+++ b/include/walnutspur/scheduler.h
@@ -107,7 +107,8 @@
   int zone = 0;
   int kind = 0;
   double scale = 1;
-  Time launched = 0;  // 0: long ago
+  Time launched = 0;      // 0: long ago
+  bool takes_new = true;  // a new object may be placed there
 };
 
 struct Membership {
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -6,12 +6,12 @@
 
 namespace walnutspur::core {
 
-Engine::Engine(const walnutspur::Settings& settings, std::uint64_t seed)
+Engine::Engine(const Settings& settings, std::uint64_t seed)
     : scheduler_(settings, seed), try_limit_(settings.try_limit) {}
 
 std::vector<Output> Engine::Start(Time now) {
   now_ = now;
-  Play(walnutspur::Started{});
+  Play(Started{});
   return std::exchange(outputs_, {});
 }
 
@@ -21,12 +21,12 @@
   return std::exchange(outputs_, {});
 }
 
-void Engine::Play(const walnutspur::Event& event) {
+void Engine::Play(const Event& event) {
   pending_.push_back(event);
   while (!pending_.empty()) {
-    const walnutspur::Event next = std::move(pending_.front());
+    const Event next = std::move(pending_.front());
     pending_.erase(pending_.begin());
-    for (const walnutspur::Action& action : scheduler_.Handle(next, now_))
+    for (const Action& action : scheduler_.Handle(next, now_))
       std::visit([this](const auto& a) { Do(a); }, action);
   }
 }
@@ -39,7 +39,7 @@
   request.deadline = input.deadline;
   request.payload = input.payload;
   if (!requests_.emplace(input.serial, std::move(request)).second) return;
-  walnutspur::Arrival arrival = input.what;
+  Arrival arrival = input.what;
   arrival.id = std::to_string(input.serial);  // clients may repeat their ids, the module must not see that
   arrival.ttl = input.deadline - now_;
   Play(arrival);
@@ -49,7 +49,7 @@
   const auto at = requests_.find(input.serial);
   if (at == requests_.end() || at->second.answered) return;
   at->second.answered = true;
-  Play(walnutspur::Abandoned{std::to_string(input.serial)});
+  Play(Abandoned{std::to_string(input.serial)});
   Forget(input.serial);
 }
 
@@ -72,7 +72,7 @@
   at = requests_.find(input.serial);
   if (at == requests_.end() || at->second.answered) return;
   Finish(input.serial, Verdict::kTimedOut, 0, nullptr);
-  Play(walnutspur::Abandoned{std::to_string(input.serial)});
+  Play(Abandoned{std::to_string(input.serial)});
   Forget(input.serial);
 }
 
@@ -84,12 +84,20 @@
 
 void Engine::On(const Listed& input) {
   Play(input.list);
-  for (const walnutspur::ListEntry& entry : input.list.entries) {
-    if (entry.phase != walnutspur::Phase::kLive) outputs_.push_back(Withdraw{entry.target});
+  std::set<TargetId> gone;  // a complete list names all that is left
+  if (input.list.mode == Mode::kFull || input.list.mode == Mode::kCached) gone.swap(live_);
+  for (const ListEntry& entry : input.list.entries) {
+    gone.erase(entry.target);
+    if (entry.phase == Phase::kLive) {
+      live_.insert(entry.target);
+    } else if (live_.erase(entry.target) > 0 || input.list.mode != Mode::kDelta) {
+      outputs_.push_back(Withdraw{entry.target});
+    }
   }
+  for (const TargetId& target : gone) outputs_.push_back(Withdraw{target});
 }
 
-void Engine::On(const Rang& input) { Play(walnutspur::Bell{input.mark}); }
+void Engine::On(const Rang& input) { Play(Bell{input.mark}); }
 
 void Engine::On(const Probed& input) { Play(input.result); }
 
@@ -99,7 +107,7 @@
   Request& request = at->second;
   const auto attempt = request.out.find(input.trial);
   if (attempt == request.out.end()) return;
-  walnutspur::Done done;
+  Done done;
   done.id = std::to_string(input.serial);
   done.trial = input.trial;
   done.target = std::move(attempt->second);
@@ -117,13 +125,13 @@
 
 // ---- actions ----
 
-Engine::Requests::iterator Engine::Find(const walnutspur::RequestId& id) {
+Engine::Requests::iterator Engine::Find(const RequestId& id) {
   Serial serial = 0;
   std::from_chars(id.data(), id.data() + id.size(), serial);
   return requests_.find(serial);
 }
 
-void Engine::Do(const walnutspur::Send& action) {
+void Engine::Do(const Send& action) {
   const auto at = Find(action.id);
   if (at == requests_.end()) return;
   Request& request = at->second;
@@ -131,7 +139,7 @@
   const Time left = request.deadline - now_;
   // A moot send is not transmitted and uses up no attempt of the request.
   if (request.answered || trial >= try_limit_ || left <= 0 || action.try_for < 0) {
-    walnutspur::Done done;
+    Done done;
     done.id = action.id;
     done.trial = request.attempts++;
     done.target = action.target;
@@ -146,14 +154,14 @@
   outputs_.push_back(Attempt{at->first, trial, request.wire, action.target, limit, request.payload});
 }
 
-void Engine::Do(const walnutspur::Refuse& action) {
+void Engine::Do(const Refuse& action) {
   const auto at = Find(action.id);
   if (at == requests_.end()) return;
   Finish(at->first, Verdict::kRefused, action.hold_off, nullptr);
   Forget(at->first);
 }
 
-void Engine::Do(const walnutspur::Fail& action) {
+void Engine::Do(const Fail& action) {
   const auto at = Find(action.id);
   if (at == requests_.end()) return;
   const bool late = now_ >= at->second.deadline;
@@ -161,17 +169,17 @@
   Forget(at->first);
 }
 
-void Engine::Do(const walnutspur::Wake& action) { outputs_.push_back(Ring{action.mark, action.after}); }
+void Engine::Do(const Wake& action) { outputs_.push_back(Ring{action.mark, action.after}); }
 
-void Engine::Do(const walnutspur::Retract& action) {
+void Engine::Do(const Retract& action) {
   const auto at = Find(action.id);
   if (at == requests_.end() || !at->second.out.contains(action.trial)) return;
   outputs_.push_back(Cancel{at->first, action.trial, at->second.wire});
 }
 
-void Engine::Do(const walnutspur::Probe& action) { outputs_.push_back(Check{action.target}); }
+void Engine::Do(const Probe& action) { outputs_.push_back(Check{action.target}); }
 
-void Engine::Do(const walnutspur::Subscribe&) { outputs_.push_back(Watch{}); }
+void Engine::Do(const Subscribe&) { outputs_.push_back(Watch{}); }
 
 // Exactly one final answer: whoever comes second finds the request answered.
 void Engine::Finish(Serial serial, Verdict verdict, Time hold_off, PayloadRef payload) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -18,10 +19,6 @@
 
 namespace walnutspur::core {
 
-using walnutspur::Outcome;
-using walnutspur::TargetId;
-using walnutspur::Time;
-
 using Serial = std::uint64_t;  // numbers the requests that one process has taken
 
 enum class Wire { kHttp, kNbd };  // whose front and connector a request belongs to
@@ -37,8 +34,8 @@
 struct Arrived {
   Serial serial = 0;
   Wire wire = Wire::kHttp;
-  walnutspur::Arrival what;  // id and ttl are filled in by the engine
-  Time deadline = 0;         // when the client stops waiting
+  Arrival what;       // id and ttl are filled in by the engine
+  Time deadline = 0;  // when the client stops waiting
   PayloadRef payload;
 };
 struct Departed {  // the client has closed its connection
@@ -58,13 +55,13 @@
   PayloadRef payload;  // the answer, if completed
 };
 struct Listed {
-  walnutspur::Membership list;
+  Membership list;
 };
 struct Rang {
   std::int64_t mark = 0;
 };
 struct Probed {
-  walnutspur::ProbeDone result;
+  ProbeDone result;
 };
 using Input = std::variant<Arrived, Departed, Expired, Ended, Listed, Rang, Probed>;
 
@@ -106,7 +103,7 @@
 
 class Engine {
  public:
-  Engine(const walnutspur::Settings& settings, std::uint64_t seed);
+  Engine(const Settings& settings, std::uint64_t seed);
 
   std::vector<Output> Start(Time now);
   // Takes one input that happens at `now`; returns what to do, in order.
@@ -133,26 +130,27 @@
   void On(const Rang& input);
   void On(const Probed& input);
 
-  void Do(const walnutspur::Send& action);
-  void Do(const walnutspur::Refuse& action);
-  void Do(const walnutspur::Fail& action);
-  void Do(const walnutspur::Wake& action);
-  void Do(const walnutspur::Retract& action);
-  void Do(const walnutspur::Probe& action);
-  void Do(const walnutspur::Subscribe& action);
+  void Do(const Send& action);
+  void Do(const Refuse& action);
+  void Do(const Fail& action);
+  void Do(const Wake& action);
+  void Do(const Retract& action);
+  void Do(const Probe& action);
+  void Do(const Subscribe& action);
 
-  void Play(const walnutspur::Event& event);
+  void Play(const Event& event);
   void Report(Requests::iterator at, const Ended& input);
   void Finish(Serial serial, Verdict verdict, Time hold_off, PayloadRef payload);
   void Forget(Serial serial);
-  Requests::iterator Find(const walnutspur::RequestId& id);
+  Requests::iterator Find(const RequestId& id);
 
-  walnutspur::Scheduler scheduler_;
+  Scheduler scheduler_;
   int try_limit_;
   Time now_ = 0;
   Requests requests_;
+  std::set<TargetId> live_;  // in the list
   std::vector<Output> outputs_;
-  std::vector<walnutspur::Event> pending_;  // events that actions caused, played after them
+  std::vector<Event> pending_;  // events that actions caused, played after them
 };
 
 }  // namespace walnutspur::core
--- a/src/core/owner.cpp
+++ b/src/core/owner.cpp
@@ -14,7 +14,7 @@
   return offset + duration_cast<microseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
 }
 
-Owner::Owner(const walnutspur::Settings& settings, std::uint64_t seed, std::function<void()> wake)
+Owner::Owner(const Settings& settings, std::uint64_t seed, std::function<void()> wake)
     : engine_(settings, seed), wake_(std::move(wake)), thread_([this] { Run(); }) {}
 
 Owner::~Owner() {
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -17,7 +17,7 @@
 class Owner {
  public:
   // `wake` is called on the owner's thread whenever outputs wait that the reader has not been told of.
-  Owner(const walnutspur::Settings& settings, std::uint64_t seed, std::function<void()> wake);
+  Owner(const Settings& settings, std::uint64_t seed, std::function<void()> wake);
   ~Owner();
   Owner(const Owner&) = delete;
   Owner& operator=(const Owner&) = delete;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -116,7 +116,7 @@
   TargetId target;
   int cell = 0, zone = 0;
   Time launched = 0;
-  bool live = false;
+  bool live = false, takes_new = true;
   std::vector<Attempt> out;
   Bound share, reserve;  // for work beyond and inside its volume's reserve
   double unit_time = kFirstUnitTime;
@@ -250,6 +250,7 @@
     node.cell = e.cell;
     node.zone = e.zone;
     node.launched = e.launched;
+    node.takes_new = e.takes_new;
     node.live = e.phase == Phase::kLive;
     if (node.live) holders_[e.cell] = &node;
   }
@@ -275,7 +276,7 @@
     Enqueue(r, &volume, r->free ? Place(*r) : a.cell);
     if (Node* node = Holder(r->stream->cell)) Pump(*node);
     // Rule: no request lost. No timer would see one held in time that has next to no time left.
-    if (a.ttl < 2 * kTick && !r->out) Finish(r, 0);
+    if (a.ttl < 2 * kTick && !r->out) Finish(r);
   }
 
   void On(const Done& d) {
@@ -308,7 +309,7 @@
     } else if (MayTryAgain(*r, d.outcome)) {
       Enqueue(r, r->stream->volume, r->free ? Place(*r) : r->stream->cell);
     } else {
-      Finish(r, 0);
+      Finish(r);
     }
     Pump(node);
     if (r->stream && r->stream->cell != node.cell && !r->ended) {
@@ -454,7 +455,7 @@
     int best = -1;
     double best_cost = 0;
     for (const auto& [cell, node] : holders_) {
-      if (!node->live) continue;
+      if (!node->live || !node->takes_new) continue;
       const double follow = node->placed.Now(now_, kPlacedFades);
       double cost = ExpectedWait(*node) + (UnitsOut(*node) + r.units + follow) * node->unit_time;
       for (const auto& [number, st] : cells_[cell]) {
@@ -848,13 +849,23 @@
     return r.risk < 0 || c.effect == Effect::kSafe || (c.effect == Effect::kKeyed && c.group == Group::kAll);
   }
 
-  void Finish(const Ref& r, Time hold_off) {
+  // When a refused client may come back: once what waits at the node is done and the node's rest is over.
+  // Where no target holds the data, news of the list are what it waits for.
+  Time ComeBack(const Request& r) const {
+    const auto holder = r.stream ? holders_.find(r.stream->cell) : holders_.end();
+    if (holder == holders_.end() || !holder->second->live) return s_.max_retry_after;
+    const Node& node = *holder->second;
+    const Time wait = std::max(Time(ExpectedWait(node)), node.rest_until - now_);
+    return std::clamp(wait, std::min(kTick, s_.max_retry_after), s_.max_retry_after);
+  }
+
+  void Finish(const Ref& r) {
     if (r->ended) return;
     NoteStay(*r, false);
     r->ended = true;
     Drop(r);
     if (RefusalIsSafe(*r)) {
-      actions_.push_back(Refuse{r->id, s_.retry_after ? std::min(hold_off, s_.max_retry_after) : 0});
+      actions_.push_back(Refuse{r->id, s_.retry_after ? ComeBack(*r) : 0});
     } else {
       actions_.push_back(Fail{r->id});
     }
@@ -876,17 +887,14 @@
         }
       }
     }
-    for (const Ref& r : lost) {
-      const Node* node = Holder(r->stream->cell);
-      Finish(r, node ? Time(ExpectedWait(*node)) : s_.max_retry_after);
-    }
+    for (const Ref& r : lost) Finish(r);
     std::vector<Ref> due;  // a last guard: the outcome at the deadline should have come by now
     for (const auto& [target, node] : nodes_) {
       for (const Attempt& a : node.out) {
         if (!a.request->ended && now_ >= a.request->deadline) due.push_back(a.request);
       }
     }
-    for (const Ref& r : due) Finish(r, 0);
+    for (const Ref& r : due) Finish(r);
   }
 
   void Track() {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,11 +5,12 @@
 
 #include "net/initiator.h"
 
-int main() {
+int main(int argc, char** argv) {
   try {
     const char* path = std::getenv("BALANCER_CONFIG");
     if (!path) throw std::runtime_error("BALANCER_CONFIG names no file");
-    walnutspur::net::Initiator initiator(walnutspur::net::LoadConfig(path));
+    const auto options = walnutspur::net::ParseOptions({argv + 1, argv + argc});
+    walnutspur::net::Initiator initiator(walnutspur::net::LoadConfig(path), options);
     initiator.Run();
     return 0;
   } catch (const std::exception& error) {
--- /dev/null
+++ b/src/nbd/boxes.cpp
@@ -0,0 +1,221 @@
+#include "nbd/boxes.h"
+
+#include <event2/buffer.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+#include "core/owner.h"
+#include "net/address.h"
+
+namespace walnutspur::nbd {
+namespace {
+
+constexpr std::size_t kMostInFlight = 16;  // commands on one connection; beyond, another one is opened
+constexpr double kIdlePart = 0.8;          // of the time that a connection may be idle
+
+}  // namespace
+
+// NBD has no reply that proves that a write never ran, not even the one of a server that shuts down. A read
+// leaves no effect, so there the reply may be believed.
+Outcome OutcomeOf(Error error, std::uint16_t command) {
+  if (error == kOk) return Outcome::kCompleted;
+  if (command == kRead && (error == kShutdown || error == kNoMemory)) return Outcome::kSaturated;
+  return Outcome::kErrored;
+}
+
+Boxes::Boxes(event_base* base, const Config& config, std::size_t most, core::Post post)
+    : base_(base), config_(config), most_(most), post_(std::move(post)) {}
+
+Boxes::Connection* Boxes::Find(const Place& place) {
+  Connection* best = nullptr;
+  for (const auto& [number, c] : connections_) {
+    const std::size_t load = c->in_flight.size() + c->waiting.size();
+    if (c->place != place || c->retired || load >= kMostInFlight) continue;
+    if (!best || load < best->in_flight.size() + best->waiting.size()) best = c.get();
+  }
+  return best;
+}
+
+Boxes::Connection* Boxes::Open(const Place& place) {
+  const auto box = std::find_if(config_.boxes.begin(), config_.boxes.end(),
+                                [&](const Box& b) { return b.id == place.first; });
+  if (box == config_.boxes.end() || connections_.size() >= most_) return nullptr;
+  auto connection = std::make_unique<Connection>(place.second);
+  Connection* c = connection.get();
+  c->owner = this;
+  c->number = next_connection_++;
+  c->place = place;
+  c->stream.reset(bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+  if (!c->stream) return nullptr;
+  // Covers the connection and the whole handshake: it is shorter than the grace of a drain, so nothing that
+  // waited for either reaches a box that has begun to drain too late.
+  c->connect = net::MakeTimer(base_, [c] { c->owner->Break(*c); });
+  c->idle = net::MakeTimer(base_, [c] { c->owner->Break(*c); });
+  bufferevent_setcb(
+      c->stream.get(),
+      [](bufferevent*, void* arg) {
+        auto* self = static_cast<Connection*>(arg);
+        self->owner->OnRead(*self);
+      },
+      nullptr,
+      [](bufferevent* stream, short what, void* arg) {
+        auto* self = static_cast<Connection*>(arg);
+        if (what & BEV_EVENT_CONNECTED) {
+          const int on = 1;
+          setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        }
+        if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) self->owner->Break(*self);
+      },
+      c);
+  bufferevent_enable(c->stream.get(), EV_READ | EV_WRITE);
+  sockaddr_in address = net::ToSocket(net::ParseAddress(box->address));
+  connections_[c->number] = std::move(connection);
+  c->connect.Start(config_.dial);
+  if (bufferevent_socket_connect(c->stream.get(), reinterpret_cast<sockaddr*>(&address), sizeof address) !=
+      0) {
+    connections_.erase(c->number);
+    return nullptr;
+  }
+  return c;
+}
+
+void Boxes::Start(const core::Attempt& attempt) {
+  const Key key{attempt.serial, attempt.trial};
+  Out& out = out_[key];
+  out.attempt = attempt;
+  out.sent = core::Now();
+  const Place place{attempt.target, static_cast<const CommandPayload&>(*attempt.payload).remote};
+  Connection* c = Find(place);
+  if (!c) c = Open(place);
+  if (!c) return Report(key, Outcome::kRefusedConn);
+  out.connection = c;
+  out.limit = net::MakeTimer(base_, [this, key] { GiveUp(key, Outcome::kOverdue); });
+  out.limit.Start(attempt.limit);
+  c->idle.Stop();
+  if (c->session.ready()) {
+    Send(*c, key);
+  } else {
+    c->waiting.push_back(key);
+  }
+}
+
+void Boxes::Send(Connection& c, const Key& key) {
+  Out& out = out_.at(key);
+  Request request = static_cast<const CommandPayload&>(*out.attempt.payload).request;
+  request.cookie = out.cookie = next_cookie_++;
+  c.in_flight[out.cookie] = key;
+  std::string bytes;
+  c.session.Send(request, &bytes);
+  c.queued += bytes.size();
+  c.unsent.emplace_back(out.cookie, c.queued);
+  bufferevent_write(c.stream.get(), bytes.data(), bytes.size());
+}
+
+// Whether the command's last byte has left for the box.
+bool Boxes::Written(const Connection& c, std::uint64_t cookie) const {
+  if (cookie == 0) return false;
+  const std::uint64_t left = evbuffer_get_length(bufferevent_get_output(c.stream.get()));
+  const auto at = std::find_if(c.unsent.begin(), c.unsent.end(), [&](auto& u) { return u.first == cookie; });
+  return at == c.unsent.end() || at->second <= c.queued - left;
+}
+
+void Boxes::OnRead(Connection& c) {
+  evbuffer* input = bufferevent_get_input(c.stream.get());
+  std::string bytes(evbuffer_get_length(input), '\0'), out;
+  evbuffer_remove(input, bytes.data(), bytes.size());
+  const bool was_ready = c.session.ready();
+  std::vector<Reply> replies;
+  c.session.Feed(bytes, &out, &replies);
+  if (!out.empty()) {
+    c.queued += out.size();
+    bufferevent_write(c.stream.get(), out.data(), out.size());
+  }
+  for (const Reply& reply : replies) OnReply(c, reply);
+  if (c.session.ended()) return Break(c);
+  if (!was_ready && c.session.ready()) {
+    c.connect.Stop();
+    for (const Key& key : std::exchange(c.waiting, {})) Send(c, key);
+  }
+  Rest(c);
+}
+
+void Boxes::OnReply(Connection& c, const Reply& reply) {
+  std::erase_if(c.unsent, [&](const auto& u) { return u.first == reply.cookie; });
+  const auto at = c.in_flight.find(reply.cookie);
+  if (at == c.in_flight.end()) return;  // it was given up
+  const Key key = at->second;
+  c.in_flight.erase(at);
+  const auto& request = static_cast<const CommandPayload&>(*out_.at(key).attempt.payload).request;
+  core::PayloadRef payload;
+  if (reply.error == kOk) {
+    auto whole = std::make_shared<ReplyPayload>();
+    whole->pieces = reply.pieces;
+    payload = std::move(whole);
+  }
+  Report(key, OutcomeOf(reply.error, request.type), std::move(payload));
+}
+
+// A command cannot be called back by NBD. It is answered for without the box, whose reply is dropped when it
+// comes; the connection gets nothing new, since a command stuck there would hold up what follows it.
+void Boxes::GiveUp(const Key& key, Outcome outcome) {
+  const auto at = out_.find(key);
+  if (at == out_.end()) return;
+  Connection& c = *at->second.connection;
+  const std::uint64_t cookie = at->second.cookie;
+  const bool written = Written(c, cookie);
+  std::erase(c.waiting, key);
+  c.in_flight.erase(cookie);
+  if (cookie != 0) c.retired = true;
+  Report(key, written || outcome == Outcome::kRecalled ? outcome : Outcome::kRefusedConn);
+  Rest(c);
+}
+
+void Boxes::Stop(core::Serial serial, int trial) { GiveUp({serial, trial}, Outcome::kRecalled); }
+
+// Nothing new to a box that drains: what has not left whole is taken back. A part of a command may be in the
+// stream, so the connection goes with it.
+void Boxes::Withdraw(const TargetId& target) {
+  std::vector<Connection*> unsent;
+  for (const auto& [number, c] : connections_) {
+    if (c->place.first != target) continue;
+    c->retired = true;
+    const bool pending = std::any_of(c->in_flight.begin(), c->in_flight.end(),
+                                     [&, &c = c](const auto& f) { return !Written(*c, f.first); });
+    if (pending || !c->waiting.empty() || c->in_flight.empty()) unsent.push_back(c.get());
+  }
+  for (Connection* c : unsent) Break(*c);
+}
+
+void Boxes::Report(const Key& key, Outcome outcome, core::PayloadRef payload) {
+  const auto at = out_.find(key);
+  core::Ended ended;
+  ended.serial = key.first;
+  ended.trial = key.second;
+  ended.outcome = outcome;
+  ended.delay = core::Now() - at->second.sent;
+  ended.payload = std::move(payload);
+  out_.erase(at);
+  post_(std::move(ended));
+}
+
+// The connection ends: what never left whole never ran, the rest may have.
+void Boxes::Break(Connection& c) {
+  const auto at = connections_.find(c.number);
+  if (at == connections_.end()) return;
+  const std::unique_ptr<Connection> gone = std::move(at->second);
+  connections_.erase(at);
+  for (const Key& key : gone->waiting) Report(key, Outcome::kRefusedConn);
+  for (const auto& [cookie, key] : gone->in_flight)
+    Report(key, Written(*gone, cookie) ? Outcome::kSevered : Outcome::kRefusedConn);
+}
+
+// Without work a connection closes: at once if it takes none any more, else before the box would close it.
+void Boxes::Rest(Connection& c) {
+  if (!c.in_flight.empty() || !c.waiting.empty()) return;
+  if (c.retired) return c.idle.Start(0);
+  if (c.session.ready()) c.idle.Start(static_cast<Time>(kIdlePart * static_cast<double>(config_.idle)));
+}
+
+}  // namespace walnutspur::nbd
--- /dev/null
+++ b/src/nbd/boxes.h
@@ -0,0 +1,84 @@
+// Carries out attempts by NBD: connections to disk boxes, several commands in flight on each.
+#ifndef WALNUTSPUR_NBD_BOXES_H_
+#define WALNUTSPUR_NBD_BOXES_H_
+
+#include <event2/bufferevent.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/port.h"
+#include "nbd/codec.h"
+#include "nbd/config.h"
+#include "nbd/front.h"
+#include "nbd/payload.h"
+#include "net/loop.h"
+
+namespace walnutspur::nbd {
+
+class Boxes : public core::Connector {
+ public:
+  // `most` bounds the connections.
+  Boxes(event_base* base, const Config& config, std::size_t most, core::Post post);
+
+  void Start(const core::Attempt& attempt) override;
+  void Stop(core::Serial serial, int trial) override;
+  void Withdraw(const TargetId& target) override;
+
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  using Key = std::pair<core::Serial, int>;
+  using Place = std::pair<TargetId, std::string>;  // a box and an export there
+
+  struct Connection {
+    explicit Connection(std::string remote) : session(std::move(remote)) {}
+    Boxes* owner = nullptr;
+    std::uint64_t number = 0;
+    Place place;
+    ClientSession session;
+    std::map<std::uint64_t, Key> in_flight;                       // by cookie; what is given up leaves it
+    std::vector<Key> waiting;                                     // for the handshake
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> unsent;  // cookie, end in the bytes written so far
+    std::uint64_t queued = 0;  // bytes handed to the stream since the start
+    bool retired = false;      // takes no new command
+    net::Watcher connect, idle;
+    StreamRef stream;
+  };
+  struct Out {
+    core::Attempt attempt;
+    Connection* connection = nullptr;
+    std::uint64_t cookie = 0;  // 0: waits for the handshake
+    Time sent = 0;
+    net::Watcher limit;
+  };
+
+  Connection* Find(const Place& place);
+  Connection* Open(const Place& place);
+  void Send(Connection& connection, const Key& key);
+  void OnRead(Connection& connection);
+  void OnReply(Connection& connection, const Reply& reply);
+  bool Written(const Connection& connection, std::uint64_t cookie) const;
+  void GiveUp(const Key& key, Outcome outcome);
+  void Report(const Key& key, Outcome outcome, core::PayloadRef payload = nullptr);
+  void Break(Connection& connection);
+  void Rest(Connection& connection);
+
+  event_base* base_;
+  const Config& config_;
+  std::size_t most_;
+  core::Post post_;
+  std::uint64_t next_connection_ = 1, next_cookie_ = 1;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
+  std::map<Key, Out> out_;
+};
+
+// The outcome that a box's whole reply stands for.
+Outcome OutcomeOf(Error error, std::uint16_t command);
+
+}  // namespace walnutspur::nbd
+
+#endif  // WALNUTSPUR_NBD_BOXES_H_
--- /dev/null
+++ b/src/nbd/front.cpp
@@ -0,0 +1,236 @@
+#include "nbd/front.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cstring>
+#include <stdexcept>
+#include <vector>
+
+#include "core/owner.h"
+#include "nbd/payload.h"
+#include "net/address.h"
+
+namespace walnutspur::nbd {
+namespace {
+
+constexpr std::size_t kMostInFlight = 32;       // commands of one client; then it is not read
+constexpr std::size_t kMostUnread = 256 << 10;  // bytes of answers that a client leaves unread; likewise
+constexpr Time kAcceptAgain = 50'000;           // us
+constexpr Time kDeadlineGuard = 5'000;          // us, like the HTTP front's
+
+std::string HoldOff(Time time) { return std::to_string(time / 1000) + " ms"; }
+
+}  // namespace
+
+Error ErrorOf(core::Verdict verdict) {
+  switch (verdict) {
+    case core::Verdict::kServed:
+      return kOk;
+    case core::Verdict::kRefused:
+      return kNoMemory;  // for want of resources: trying again is harmless
+    case core::Verdict::kFailed:
+    case core::Verdict::kTimedOut:
+      return kIo;  // the effect is unknown
+  }
+  return kIo;
+}
+
+Front::Front(event_base* base, const Config& config, const Settings& settings, std::size_t most,
+             std::function<core::Serial()> next_serial, core::Post post)
+    : base_(base),
+      config_(config),
+      settings_(settings),
+      most_(most),
+      next_serial_(std::move(next_serial)),
+      post_(std::move(post)),
+      resume_(net::MakeTimer(base, [this] { evconnlistener_enable(listener_.get()); })) {
+  sockaddr_in address = net::ToSocket(net::ParseAddress(config.listen));
+  listener_.reset(evconnlistener_new_bind(
+      base,
+      [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
+        static_cast<Front*>(arg)->OnAccept(fd);
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
+      reinterpret_cast<sockaddr*>(&address), sizeof address));
+  if (!listener_) throw std::runtime_error("cannot listen at " + config.listen + ": " + std::strerror(errno));
+  evconnlistener_set_error_cb(listener_.get(),
+                              [](evconnlistener*, void* arg) { static_cast<Front*>(arg)->Pause(); });
+  socklen_t length = sizeof address;
+  getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&address), &length);
+  port_ = ntohs(address.sin_port);
+}
+
+Front::~Front() = default;
+
+// Out of descriptors: the listener stays readable, so it rests instead of spinning.
+void Front::Pause() {
+  evconnlistener_disable(listener_.get());
+  resume_.Start(kAcceptAgain);
+}
+
+void Front::OnAccept(evutil_socket_t fd) {
+  auto client = std::make_unique<Client>(config_.exports);
+  client->owner = this;
+  client->number = next_client_++;
+  client->stream.reset(bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE));
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  Client* c = client.get();
+  // A handshake that stalls, at whatever byte, ends with this timer and leaves nothing behind.
+  c->handshake = net::MakeTimer(base_, [c] { c->owner->End(*c); });
+  c->handshake.Start(config_.handshake);
+  bufferevent_setcb(
+      c->stream.get(),
+      [](bufferevent*, void* arg) {
+        auto* self = static_cast<Client*>(arg);
+        self->owner->OnRead(*self);
+      },
+      [](bufferevent*, void* arg) {  // all is written
+        auto* self = static_cast<Client*>(arg);
+        bufferevent_enable(self->stream.get(), EV_READ);
+        self->owner->OnRead(*self);
+      },
+      [](bufferevent*, short what, void* arg) {
+        auto* self = static_cast<Client*>(arg);
+        if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) self->owner->End(*self);
+      },
+      c);
+  clients_[c->number] = std::move(client);
+  if (on_accept) on_accept(c->stream.get());
+  bufferevent_enable(c->stream.get(), EV_READ | EV_WRITE);
+  Write(*c, Greeting());
+  if (clients_.size() >= most_) Pause();
+}
+
+void Front::Write(Client& client, const std::string& bytes) {
+  if (!bytes.empty()) bufferevent_write(client.stream.get(), bytes.data(), bytes.size());
+}
+
+// Reads on only while there is room for more of the client's commands and answers: both are bounded.
+void Front::OnRead(Client& client) {
+  evbuffer* input = bufferevent_get_input(client.stream.get());
+  while (!client.session.ended() && evbuffer_get_length(input) > 0) {
+    if (client.in_flight.size() >= kMostInFlight ||
+        evbuffer_get_length(bufferevent_get_output(client.stream.get())) > kMostUnread) {
+      bufferevent_disable(client.stream.get(), EV_READ);
+      return;
+    }
+    char bytes[4096];
+    const int size = evbuffer_remove(input, bytes, sizeof bytes);
+    if (size <= 0) break;
+    std::string out;
+    std::vector<Request> requests;
+    client.session.Feed({bytes, static_cast<std::size_t>(size)}, &out, &requests);
+    Write(client, out);
+    if (client.session.chosen()) client.handshake.Stop();
+    for (Request& request : requests) Take(client, std::move(request));
+  }
+  EndIfIdle(client);
+}
+
+void Front::Take(Client& client, Request request) {
+  const Export& chosen = *client.session.chosen();
+  const Volume& volume = config_.volumes[&chosen - config_.exports.data()];
+  const std::uint64_t cookie = request.cookie;
+  const auto refuse = [&](Error error, const char* why) {
+    std::string out;
+    client.session.Reply(cookie, error, why, &out);
+    Write(client, out);
+  };
+  const auto cls = config_.classes.find(request.type);
+  if (cls == config_.classes.end()) return refuse(kInvalid, "unknown command");
+  if (request.flags != 0) return refuse(kInvalid, "unknown flags");
+  if (client.in_flight.contains(cookie)) return refuse(kInvalid, "the cookie is in use");
+  if (request.type != kFlush) {
+    if (request.length == 0) return refuse(kInvalid, "no length");
+    if (request.oversized || request.length > chosen.largest) return refuse(kOverflow, "too long");
+    if (request.offset > chosen.size || request.length > chosen.size - request.offset)
+      return refuse(request.type == kWrite ? kNoSpace : kInvalid, "past the end");
+  } else if (request.length != 0 || request.offset != 0) {
+    return refuse(kInvalid, "a flush has no range");
+  }
+  core::Arrived arrived;
+  arrived.serial = next_serial_();
+  arrived.wire = core::Wire::kNbd;
+  arrived.what.request_class = cls->second;
+  arrived.what.plan = volume.plan;
+  arrived.what.volume = volume.volume;
+  arrived.what.key = volume.volume + "/" + std::to_string(request.offset);
+  arrived.what.units = UnitsOf(config_, request.length);
+  arrived.what.cell = volume.shard;
+  arrived.what.mounts = volume.hosts;
+  const Time patience = settings_.classes[cls->second].deadline;
+  arrived.deadline = core::Now() + patience;
+  auto payload = std::make_shared<CommandPayload>();
+  payload->request = std::move(request);
+  payload->remote = volume.remote;
+  arrived.payload = std::move(payload);
+  client.in_flight[cookie] = arrived.serial;
+  const core::Serial serial = arrived.serial;
+  Held& held = held_[serial];
+  held.client = client.number;
+  held.cookie = cookie;
+  held.deadline = net::MakeTimer(base_, [this, serial] { post_(core::Expired{serial}); });
+  held.deadline.Start(patience + kDeadlineGuard);
+  post_(std::move(arrived));
+}
+
+void Front::Finish(const core::Answer& answer) {
+  const auto at = held_.find(answer.serial);
+  if (at == held_.end()) return;  // the client has left
+  Client& client = *clients_.at(at->second.client);
+  const std::uint64_t cookie = at->second.cookie;
+  held_.erase(at);
+  client.in_flight.erase(cookie);
+  std::string out;
+  if (answer.verdict == core::Verdict::kServed) {
+    const auto& pieces = static_cast<const ReplyPayload&>(*answer.payload).pieces;
+    if (pieces.empty()) {
+      client.session.Reply(cookie, kOk, "", &out);
+    } else {
+      client.session.Reply(cookie, pieces, &out);
+    }
+  } else {
+    const std::string why = answer.verdict == core::Verdict::kRefused
+                                ? "refused: come back in " + HoldOff(answer.hold_off)
+                            : answer.verdict == core::Verdict::kTimedOut ? "timed out"
+                                                                         : "failed";
+    client.session.Reply(cookie, ErrorOf(answer.verdict), why, &out);
+  }
+  Write(client, out);
+  bufferevent_enable(client.stream.get(), EV_READ);
+  OnRead(client);  // what had to wait for room
+}
+
+// A client that said goodbye, or sent what is no NBD, gets no further answers; nor is a draining one kept.
+void Front::EndIfIdle(Client& client) {
+  if (client.session.ended()) {
+    if (evbuffer_get_length(bufferevent_get_output(client.stream.get())) == 0) End(client);
+    return;
+  }
+  if (draining_ && client.in_flight.empty() &&
+      evbuffer_get_length(bufferevent_get_output(client.stream.get())) == 0)
+    End(client);
+}
+
+void Front::End(Client& client) {
+  const auto at = clients_.find(client.number);
+  if (at == clients_.end()) return;
+  const std::unique_ptr<Client> gone = std::move(at->second);
+  clients_.erase(at);
+  for (const auto& [cookie, serial] : gone->in_flight) {
+    if (held_.erase(serial) > 0) post_(core::Departed{serial});
+  }
+}
+
+void Front::Drain() {
+  draining_ = true;
+  std::vector<Client*> all;
+  for (const auto& [number, client] : clients_) all.push_back(client.get());
+  for (Client* client : all) EndIfIdle(*client);
+}
+
+}  // namespace walnutspur::nbd
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -21,18 +21,6 @@
 
 }  // namespace
 
-Address ParseAddress(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  Address address;
-  if (colon != std::string::npos && colon > 0) {
-    address.host = text.substr(0, colon);
-    const char* end = text.data() + text.size();
-    const auto [at, error] = std::from_chars(text.data() + colon + 1, end, address.port);
-    if (error == std::errc() && at == end) return address;
-  }
-  throw std::runtime_error("'" + text + "' is not an address with a port");
-}
-
 int IndexOf(const std::vector<std::string>& names, const std::string& name) {
   const auto at = std::find(names.begin(), names.end(), name);
   return at == names.end() ? -1 : static_cast<int>(at - names.begin());
@@ -51,6 +39,7 @@
   const json& settings = j.at("settings");
   c.settings = walnutspur::wire::ParseSettings(settings);
   if (c.settings.classes.empty()) throw std::runtime_error("'settings' has no classes");
+  c.settings.retry_after = true;  // HTTP carries it, whatever the simulator's wire forwards
   c.names.classes = ParseNames(settings.at("classes"));
   c.names.plans = ParseNames(settings.value("policies", json::array()));
   c.names.zones = ParseNames(settings.value("zones", json::array()));
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -7,16 +7,11 @@
 #include <string>
 #include <vector>
 
+#include "net/address.h"
 #include "walnutspur/scheduler.h"
 
 namespace walnutspur::net {
 
-struct Address {
-  std::string host;  // a numeric address: there is no DNS
-  std::uint16_t port = 0;
-};
-Address ParseAddress(const std::string& text);  // throws std::runtime_error
-
 // The names that the platform's protocol uses, with the numbers that the module uses.
 struct Names {
   std::vector<std::string> classes, plans, zones, kinds;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // A live watch brings at least an empty line every 2 s; discovery answers or gives up a call within 2 s.
-constexpr core::Time kSilence = 3'500'000;  // us
+constexpr Time kSilence = 3'500'000;        // us
 constexpr std::size_t kMostLine = 4 << 20;  // a line that grows beyond this is none
 
 }  // namespace
--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -22,10 +22,10 @@
 
 constexpr std::size_t kMostBody = 64 * 1024;
 constexpr std::size_t kMostHeaders = 16 * 1024;
-constexpr int kIdleSeconds = 300;             // a client's connection may stay idle so long
-constexpr core::Time kAcceptAgain = 50'000;   // us without accepting after a failed accept
-constexpr core::Time kDeadlineGuard = 5'000;  // us past the deadline: attempts' own timers come first
-constexpr double kClientPart = 0.55;          // of the descriptors; the rest is for targets and the loop
+constexpr int kIdleSeconds = 300;       // a client's connection may stay idle so long
+constexpr Time kAcceptAgain = 50'000;   // us without accepting after a failed accept
+constexpr Time kDeadlineGuard = 5'000;  // us past the deadline: attempts' own timers come first
+constexpr double kClientPart = 0.55;    // of the descriptors; the rest is for targets and the loop
 constexpr short kEveryMethod = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
                                EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_TRACE |
                                EVHTTP_REQ_CONNECT | EVHTTP_REQ_PATCH;
@@ -56,8 +56,11 @@
   evhttp_set_bevcb(
       http_.get(),
       [](event_base* own, void* arg) {
-        static_cast<HttpFront*>(arg)->OnAccept();
-        return bufferevent_socket_new(own, -1, BEV_OPT_CLOSE_ON_FREE);
+        auto* self = static_cast<HttpFront*>(arg);
+        self->OnAccept();
+        bufferevent* stream = bufferevent_socket_new(own, -1, BEV_OPT_CLOSE_ON_FREE);
+        if (stream && self->on_accept) self->on_accept(stream);
+        return stream;
       },
       this);
   auto* bound = evhttp_bind_socket_with_handle(http_.get(), config.listen.host.c_str(), config.listen.port);
@@ -151,7 +154,7 @@
   evbuffer_remove(body, payload->body.data(), payload->body.size());
 
   core::Arrived arrived;
-  core::Time patience = 0;
+  Time patience = 0;
   if (const auto wrong = ReadRequest(config_, *payload, header, &arrived, &patience))
     return Reply(request, 400, *wrong + "\n");
 
@@ -162,8 +165,8 @@
   timeval woke{}, now{};
   event_base_gettimeofday_cached(base_, &woke);
   evutil_gettimeofday(&now, nullptr);
-  const core::Time late = (now.tv_sec - woke.tv_sec) * 1'000'000 + (now.tv_usec - woke.tv_usec);
-  const core::Time left = patience - std::clamp<core::Time>(late, 0, patience);
+  const Time late = (now.tv_sec - woke.tv_sec) * 1'000'000 + (now.tv_usec - woke.tv_usec);
+  const Time left = patience - std::clamp<Time>(late, 0, patience);
   arrived.deadline = core::Now() + left;
   arrived.payload = std::move(payload);
 
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -2,6 +2,7 @@
 #ifndef WALNUTSPUR_NET_HTTP_FRONT_H_
 #define WALNUTSPUR_NET_HTTP_FRONT_H_
 
+#include <functional>
 #include <memory>
 #include <unordered_map>
 
@@ -9,6 +10,7 @@
 #include "net/config.h"
 #include "net/loop.h"
 
+struct bufferevent;
 struct evconnlistener;
 
 namespace walnutspur::net {
@@ -30,6 +32,10 @@
   std::size_t connections() const override { return clients_.size(); }
 
   void set_ready() { ready_ = true; }
+
+  // Called with each connection's stream once it is accepted.
+  std::function<void(bufferevent*)> on_accept;
+
   int port() const { return port_; }
 
  private:
--- a/src/net/http_targets.cpp
+++ b/src/net/http_targets.cpp
@@ -13,9 +13,9 @@
 
 constexpr std::size_t kMostBody = 64 * 1024;
 constexpr std::size_t kMostHeaders = 16 * 1024;
-constexpr double kTargetPart = 0.4;         // of the descriptors
-constexpr double kIdlePart = 0.8;           // of the time after which targets close idle connections
-constexpr core::Time kProbeWait = 250'000;  // us
+constexpr double kTargetPart = 0.4;   // of the descriptors
+constexpr double kIdlePart = 0.8;     // of the time after which targets close idle connections
+constexpr Time kProbeWait = 250'000;  // us
 
 }  // namespace
 
@@ -31,7 +31,7 @@
     evhttp_connection_set_closecb(connection->link.get(), nullptr, nullptr);
 }
 
-void HttpTargets::Learn(const core::TargetId& target, const std::string& address) {
+void HttpTargets::Learn(const TargetId& target, const std::string& address) {
   std::string& known = addresses_[target];
   if (known == address) return;
   known = address;
@@ -44,11 +44,11 @@
          static_cast<const HttpRequest*>(attempt.payload.get()));
 }
 
-void HttpTargets::Probe(const core::TargetId& target) {
+void HttpTargets::Probe(const TargetId& target) {
   Launch({0, static_cast<int>(++probes_)}, target, kProbeWait, nullptr);
 }
 
-HttpTargets::Connection* HttpTargets::TakeIdle(const core::TargetId& target) {
+HttpTargets::Connection* HttpTargets::TakeIdle(const TargetId& target) {
   auto& idle = idle_[target];
   if (idle.empty()) return nullptr;
   Connection* connection = idle.back();
@@ -70,7 +70,7 @@
   return false;
 }
 
-HttpTargets::Connection* HttpTargets::Open(const core::TargetId& target) {
+HttpTargets::Connection* HttpTargets::Open(const TargetId& target) {
   const auto known = addresses_.find(target);
   if (known == addresses_.end() || known->second.empty() || !MakeRoom()) return nullptr;
   auto connection = std::make_unique<Connection>();
@@ -105,11 +105,11 @@
   const std::uint64_t number = c->number;
   c->connect = MakeTimer(base_, [this, number] {
     const auto at = connections_.find(number);
-    if (at != connections_.end()) Break(*at->second, core::Outcome::kRefusedConn);
+    if (at != connections_.end()) Break(*at->second, Outcome::kRefusedConn);
   });
   c->limit = MakeTimer(base_, [this, number] {
     const auto at = connections_.find(number);
-    if (at != connections_.end()) Break(*at->second, core::Outcome::kOverdue);
+    if (at != connections_.end()) Break(*at->second, Outcome::kOverdue);
   });
   c->idle = MakeTimer(base_, [this, number] {
     const auto at = connections_.find(number);
@@ -121,8 +121,7 @@
   return c;
 }
 
-void HttpTargets::Launch(const Key& key, const core::TargetId& target, core::Time limit,
-                         const HttpRequest* request) {
+void HttpTargets::Launch(const Key& key, const TargetId& target, Time limit, const HttpRequest* request) {
   Connection* c = TakeIdle(target);
   const bool fresh = !c;
   if (fresh) c = Open(target);
@@ -130,7 +129,7 @@
     core::Ended ended;
     ended.serial = key.first;
     ended.trial = key.second;
-    ended.outcome = core::Outcome::kRefusedConn;
+    ended.outcome = Outcome::kRefusedConn;
     if (key.first != 0) return post_(std::move(ended));
     return post_(core::Probed{{target, ended.outcome, 0, {}}});
   }
@@ -157,7 +156,7 @@
   c->limit.Start(limit);
   const auto method = request && request->put ? EVHTTP_REQ_PUT : EVHTTP_REQ_GET;
   const char* uri = request ? request->uri.c_str() : "/-/healthy";
-  if (evhttp_make_request(c->link.get(), out, method, uri) != 0) Break(*c, core::Outcome::kRefusedConn);
+  if (evhttp_make_request(c->link.get(), out, method, uri) != 0) Break(*c, Outcome::kRefusedConn);
 }
 
 // evhttp tells neither that a connection has come up nor that a request has left; its output buffer does: it
@@ -174,13 +173,13 @@
 void HttpTargets::OnAnswer(Connection& c, evhttp_request* answer) {
   if (!c.attempt) return;
   const int code = answer ? evhttp_request_get_response_code(answer) : 0;
-  if (code == 0) return Break(c, core::Outcome::kSevered);
+  if (code == 0) return Break(c, Outcome::kSevered);
   auto* headers = evhttp_request_get_input_headers(answer);
   const Header header = [headers](const char* name) { return evhttp_find_header(headers, name); };
   core::Ended ended;
   ended.outcome = OutcomeOf(code, header);
   ReadTold(config_.settings.report_fields, header, &ended);
-  if (ended.outcome == core::Outcome::kCompleted) {
+  if (ended.outcome == Outcome::kCompleted) {
     auto payload = std::make_shared<HttpAnswer>();
     evbuffer* body = evhttp_request_get_input_buffer(answer);
     payload->body.resize(evbuffer_get_length(body));
@@ -196,10 +195,10 @@
 }
 
 // The attempt ends without an answer. What never left whole never ran, whatever ended it.
-void HttpTargets::Break(Connection& c, core::Outcome outcome) {
+void HttpTargets::Break(Connection& c, Outcome outcome) {
   if (!c.attempt) return;
   core::Ended ended;
-  ended.outcome = c.written || outcome == core::Outcome::kRecalled ? outcome : core::Outcome::kRefusedConn;
+  ended.outcome = c.written || outcome == Outcome::kRecalled ? outcome : Outcome::kRefusedConn;
   Report(c, std::move(ended));
   Discard(c);
 }
@@ -219,7 +218,7 @@
 
 void HttpTargets::KeepIdle(Connection& c) {
   idle_[c.target].push_back(&c);
-  c.idle.Start(static_cast<core::Time>(kIdlePart * static_cast<double>(config_.idle)));
+  c.idle.Start(static_cast<Time>(kIdlePart * static_cast<double>(config_.idle)));
 }
 
 // Closes a connection, but not inside of a callback of its own.
@@ -237,16 +236,16 @@
 
 void HttpTargets::Stop(core::Serial serial, int trial) {
   const auto at = attempts_.find({serial, trial});
-  if (at != attempts_.end()) Break(*at->second, core::Outcome::kRecalled);
+  if (at != attempts_.end()) Break(*at->second, Outcome::kRecalled);
 }
 
 // Guards the rule on drains: an attempt whose connection is still coming up would reach the target later.
-void HttpTargets::Withdraw(const core::TargetId& target) {
+void HttpTargets::Withdraw(const TargetId& target) {
   std::vector<Connection*> unsent;
   for (const auto& [key, connection] : attempts_) {
     if (connection->target == target && !connection->written) unsent.push_back(connection);
   }
-  for (Connection* connection : unsent) Break(*connection, core::Outcome::kRefusedConn);
+  for (Connection* connection : unsent) Break(*connection, Outcome::kRefusedConn);
   const auto idle = std::exchange(idle_[target], {});
   for (Connection* connection : idle) Discard(*connection);
 }
--- a/src/net/http_targets.h
+++ b/src/net/http_targets.h
@@ -25,12 +25,12 @@
   ~HttpTargets() override;
 
   // Where a target listens; it may move.
-  void Learn(const core::TargetId& target, const std::string& address);
+  void Learn(const TargetId& target, const std::string& address);
 
   void Start(const core::Attempt& attempt) override;
   void Stop(core::Serial serial, int trial) override;
-  void Withdraw(const core::TargetId& target) override;
-  void Probe(const core::TargetId& target);
+  void Withdraw(const TargetId& target) override;
+  void Probe(const TargetId& target);
 
   std::size_t connections() const { return connections_.size(); }
 
@@ -40,9 +40,9 @@
   struct Connection {
     HttpTargets* owner = nullptr;
     std::uint64_t number = 0;
-    core::TargetId target;
+    TargetId target;
     std::optional<Key> attempt;
-    core::Time sent = 0;
+    Time sent = 0;
     bool connected = false;  // it has come up
     bool written = false;    // the attempt's last byte has left
     bool closed = false;     // evhttp has closed it
@@ -50,13 +50,13 @@
     std::unique_ptr<evhttp_connection, Freed<evhttp_connection_free>> link;
   };
 
-  Connection* Open(const core::TargetId& target);
-  Connection* TakeIdle(const core::TargetId& target);
+  Connection* Open(const TargetId& target);
+  Connection* TakeIdle(const TargetId& target);
   bool MakeRoom();
-  void Launch(const Key& key, const core::TargetId& target, core::Time limit, const HttpRequest* request);
+  void Launch(const Key& key, const TargetId& target, Time limit, const HttpRequest* request);
   void OnOutput(Connection& connection, const evbuffer_cb_info& info, std::size_t left);
   void OnAnswer(Connection& connection, evhttp_request* answer);
-  void Break(Connection& connection, core::Outcome outcome);
+  void Break(Connection& connection, Outcome outcome);
   void Report(Connection& connection, core::Ended ended);
   void Discard(Connection& connection);
   void KeepIdle(Connection& connection);
@@ -67,8 +67,8 @@
   std::size_t most_;
   std::uint64_t next_ = 1;
   std::uint64_t probes_ = 0;
-  std::map<core::TargetId, std::string> addresses_;
-  std::map<core::TargetId, std::vector<Connection*>> idle_;  // the one used last at the end
+  std::map<TargetId, std::string> addresses_;
+  std::map<TargetId, std::vector<Connection*>> idle_;  // the one used last at the end
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
   std::map<Key, Connection*> attempts_;
   std::vector<std::unique_ptr<Connection>> discarded_;  // freed outside of their own callbacks
--- a/src/net/initiator.cpp
+++ b/src/net/initiator.cpp
@@ -3,16 +3,20 @@
 #include <event2/thread.h>
 
 #include <csignal>
+#include <cstdio>
 #include <stdexcept>
 #include <utility>
 
 namespace walnutspur::net {
 namespace {
 
-constexpr core::Time kStay = 450'000;            // us after SIGTERM in which all goes on: clients still come
-constexpr core::Time kLook = 50'000;             // us between looks whether all is answered
-constexpr core::Time kLongestLeast = 3'000'000;  // us; the platform counts a shorter deadline as this one
-constexpr core::Time kKilled = 600'000;          // us after the longest deadline; SIGKILL comes at 0.7 s
+constexpr Time kStay = 450'000;  // us after SIGTERM in which all goes on: clients still come
+constexpr std::size_t kMostNbdClients = 64;
+constexpr std::size_t kMostBoxLinks = 64;
+constexpr std::size_t kMostRecorded = 64 << 20;  // bytes: files count as memory
+constexpr Time kLook = 50'000;                   // us between looks whether all is answered
+constexpr Time kLongestLeast = 3'000'000;        // us; the platform counts a shorter deadline as this one
+constexpr Time kKilled = 600'000;                // us after the longest deadline; SIGKILL comes at 0.7 s
 
 BaseRef MakeBase() {
   static const int threads = evthread_use_pthreads();
@@ -22,7 +26,22 @@
 
 }  // namespace
 
-Initiator::Initiator(Config config) : config_(std::move(config)), base_(MakeBase()) {
+Options ParseOptions(const std::vector<std::string>& arguments) {
+  Options options;
+  for (std::size_t i = 0; i < arguments.size(); i += 2) {
+    std::string* value = arguments[i] == "--nbd"      ? &options.nbd
+                         : arguments[i] == "--record" ? &options.record
+                         : arguments[i] == "--replay" ? &options.replay
+                                                      : nullptr;
+    if (!value || i + 1 == arguments.size())
+      throw std::runtime_error(
+          "usage: walnutspur [--nbd FILE.toml] [--record FILE.pcap] [--replay FILE.pcap]");
+    *value = arguments[i + 1];
+  }
+  return options;
+}
+
+Initiator::Initiator(Config config, const Options& options) : config_(std::move(config)), base_(MakeBase()) {
   std::signal(SIGPIPE, SIG_IGN);
   const core::Post post = [this](core::Input input) { owner_->Post(std::move(input)); };
   outputs_ = Watcher(base_.get(), -1, EV_PERSIST, [this] {
@@ -30,6 +49,13 @@
   });
   targets_ = std::make_unique<HttpTargets>(base_.get(), config_, post);
   front_ = std::make_unique<HttpFront>(base_.get(), config_, &serials_, post);
+  if (!options.nbd.empty()) StartNbd(options.nbd, post);
+  if (!options.record.empty()) {
+    recorder_ = std::make_unique<pcap::Recorder>(options.record, kMostRecorded);
+    const auto attach = [this](bufferevent* stream) { recorder_->Attach(stream); };
+    front_->on_accept = attach;
+    if (nbd_front_) nbd_front_->on_accept = attach;
+  }
   discovery_ = std::make_unique<Discovery>(
       base_.get(), config_,
       [this](walnutspur::Membership list, const TargetList& raw) { OnList(std::move(list), raw); });
@@ -45,6 +71,35 @@
     discovery_->Adopt(known);
     OnList({walnutspur::Mode::kCached, known.entries}, known);
   }
+  if (!options.replay.empty()) StartReplay(options.replay);
+}
+
+void Initiator::StartNbd(const std::string& path, const core::Post& post) {
+  nbd_ = nbd::LoadConfig(path, config_.names.classes, config_.names.plans, config_.settings, config_.shards);
+  nbd_.dial = std::min(nbd_.dial, config_.dial);
+  boxes_ = std::make_unique<nbd::Boxes>(base_.get(), nbd_, kMostBoxLinks, post);
+  nbd_front_ = std::make_unique<nbd::Front>(
+      base_.get(), nbd_, config_.settings, kMostNbdClients, [this] { return serials_.next++; }, post);
+}
+
+// The streams of a file take the place of clients: each goes to the front whose protocol it speaks.
+void Initiator::StartReplay(const std::string& path) {
+  const std::vector<pcap::Stream> streams = pcap::ReadStreams(path);
+  const auto address_of = [this](const pcap::Stream& stream) -> Address {
+    if (!pcap::LooksLikeNbd(stream.to_server.bytes()))
+      return {config_.listen.host, static_cast<std::uint16_t>(front_->port())};
+    if (!nbd_front_) return {};
+    return {ParseAddress(nbd_.listen).host, static_cast<std::uint16_t>(nbd_front_->port())};
+  };
+  const Time quiet = std::max(kLongestLeast, config_.longest_deadline) + kKilled;
+  player_ = std::make_unique<pcap::Player>(base_.get(), streams, address_of, quiet, [this] {
+    std::size_t sent = 0, received = 0;
+    for (const auto& result : player_->results())
+      sent += result.sent.size(), received += result.received.size();
+    std::printf("walnutspur: replayed %zu streams, %zu bytes, answered with %zu\n", player_->results().size(),
+                sent, received);
+    Drain();
+  });
 }
 
 Initiator::~Initiator() { owner_.reset(); }
@@ -62,14 +117,35 @@
     if (!raw.addresses[i].empty()) targets_->Learn(raw.entries[i].target, raw.addresses[i]);
   }
   if (list.mode != walnutspur::Mode::kFailed) front_->set_ready();
+  if (list.mode == walnutspur::Mode::kFull || list.mode == walnutspur::Mode::kCached) {
+    for (const nbd::Box& box : nbd_.boxes) {  // a complete list would take those away that it never names
+      if (box.listed) continue;
+      ListEntry entry;
+      entry.target = box.id;
+      entry.cell = box.shard;
+      entry.takes_new = false;
+      list.entries.push_back(entry);
+    }
+  }
   owner_->Post(core::Listed{std::move(list)});
 }
 
-core::Connector& Initiator::connector(core::Wire) { return *targets_; }
+core::Connector& Initiator::connector(core::Wire wire) {
+  if (wire == core::Wire::kNbd) return *boxes_;
+  return *targets_;
+}
 
-void Initiator::Do(const core::Withdraw& output) { targets_->Withdraw(output.target); }
+core::Front& Initiator::front(core::Wire wire) {
+  if (wire == core::Wire::kNbd) return *nbd_front_;
+  return *front_;
+}
 
-void Initiator::Do(const core::Answer& output) { front_->Finish(output); }
+void Initiator::Do(const core::Withdraw& output) {
+  targets_->Withdraw(output.target);
+  if (boxes_) boxes_->Withdraw(output.target);
+}
+
+void Initiator::Do(const core::Answer& output) { front(output.wire).Finish(output); }
 
 void Initiator::Do(const core::Ring& output) {
   const std::uint64_t number = next_ring_++;
@@ -91,8 +167,14 @@
 }
 
 void Initiator::Leave() {
-  front_->Drain();
-  if (front_->held() == 0 && front_->connections() == 0) {
+  std::size_t left = 0;
+  for (core::Front* front :
+       {static_cast<core::Front*>(front_.get()), static_cast<core::Front*>(nbd_front_.get())}) {
+    if (!front) continue;
+    front->Drain();
+    left += front->held() + front->connections();
+  }
+  if (left == 0) {
     event_base_loopbreak(base_.get());
   } else {
     leave_.Start(kLook);
--- a/src/net/initiator.h
+++ b/src/net/initiator.h
@@ -4,20 +4,35 @@
 
 #include <map>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "core/owner.h"
 #include "core/port.h"
+#include "nbd/boxes.h"
+#include "nbd/config.h"
+#include "nbd/front.h"
 #include "net/config.h"
 #include "net/discovery.h"
 #include "net/http_front.h"
 #include "net/http_targets.h"
 #include "net/loop.h"
+#include "pcap/traffic.h"
 
 namespace walnutspur::net {
 
+// What stands on the command line.
+struct Options {
+  std::string nbd;     // the file of the NBD front; empty: there is none
+  std::string record;  // the pcap file that the traffic served is written to
+  std::string replay;  // the pcap file whose streams are played to the fronts; then the initiator ends
+};
+Options ParseOptions(const std::vector<std::string>& arguments);  // throws std::runtime_error
+
 class Initiator {
  public:
-  explicit Initiator(Config config);
+  // Throws std::exception with a message of one line.
+  explicit Initiator(Config config, const Options& options = {});
   ~Initiator();
   Initiator(const Initiator&) = delete;
   Initiator& operator=(const Initiator&) = delete;
@@ -28,6 +43,10 @@
 
   event_base* base() { return base_.get(); }
   HttpFront& front() { return *front_; }
+  nbd::Front* nbd_front() { return nbd_front_.get(); }
+  const pcap::Player* player() const { return player_.get(); }
+  std::size_t target_connections() const { return targets_->connections(); }
+  std::size_t box_connections() const { return boxes_ ? boxes_->connections() : 0; }
 
  private:
   void Drain();
@@ -43,15 +62,24 @@
   void Do(const core::Check& output) { targets_->Probe(output.target); }
   core::Connector& connector(core::Wire wire);
 
+  void StartNbd(const std::string& path, const core::Post& post);
+  void StartReplay(const std::string& path);
+  core::Front& front(core::Wire wire);
+
   Config config_;
   BaseRef base_;
   Serials serials_;
+  nbd::Config nbd_;
+  std::unique_ptr<pcap::Recorder> recorder_;
   std::unique_ptr<HttpFront> front_;
   std::unique_ptr<HttpTargets> targets_;
   std::unique_ptr<Discovery> discovery_;
+  std::unique_ptr<nbd::Front> nbd_front_;
+  std::unique_ptr<nbd::Boxes> boxes_;
+  std::unique_ptr<pcap::Player> player_;
   std::uint64_t next_ring_ = 0;
   std::map<std::uint64_t, Watcher> rings_;
-  core::Time stopped_ = 0;
+  Time stopped_ = 0;
   Watcher outputs_, term_, interrupt_, leave_, last_;
   std::unique_ptr<core::Owner> owner_;
 };
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -24,8 +24,8 @@
 using BaseRef = std::unique_ptr<event_base, Freed<event_base_free>>;
 using EventRef = std::unique_ptr<event, Freed<event_free>>;
 
-inline timeval ToTimeval(core::Time after) {
-  after = std::max<core::Time>(after, 0);
+inline timeval ToTimeval(Time after) {
+  after = std::max<Time>(after, 0);
   return {static_cast<time_t>(after / 1'000'000), static_cast<suseconds_t>(after % 1'000'000)};
 }
 
@@ -44,7 +44,7 @@
             call_.get())) {}
 
   void Start() { event_add(event_.get(), nullptr); }
-  void Start(core::Time after) {
+  void Start(Time after) {
     const timeval time = ToTimeval(after);
     event_add(event_.get(), &time);
   }
--- a/src/net/messages.cpp
+++ b/src/net/messages.cpp
@@ -54,7 +54,7 @@
 }  // namespace
 
 std::optional<std::string> ReadRequest(const Config& config, const HttpRequest& request, const Header& header,
-                                       core::Arrived* arrived, core::Time* patience) {
+                                       core::Arrived* arrived, Time* patience) {
   walnutspur::Arrival& what = arrived->what;
   if (!IsHex16(request.id)) return "X-Request-Id is not 16 hex digits";
   const std::string_view path = std::string_view(request.uri).substr(0, request.uri.find('?'));
@@ -72,7 +72,7 @@
   if (what.plan < 0) return "X-Plan is not a plan of the settings";
   const auto deadline = Positive(header("X-Deadline"));
   if (!deadline) return "X-Deadline is not a time in seconds";
-  *patience = static_cast<core::Time>(std::min(*deadline, kLongest) * 1e6);
+  *patience = static_cast<Time>(std::min(*deadline, kLongest) * 1e6);
   const char* io = header("X-IO");
   std::optional<double> units;
   std::optional<int> shard, hosts;
@@ -91,12 +91,11 @@
 
 // A 503 or 504 proves that the request never ran only where it says so; any other answer may come after the
 // work was done.
-core::Outcome OutcomeOf(int code, const Header& header) {
-  if (code == 200) return core::Outcome::kCompleted;
+Outcome OutcomeOf(int code, const Header& header) {
+  if (code == 200) return Outcome::kCompleted;
   const char* not_run = header("X-Not-Run");
-  if ((code == 503 || code == 504) && not_run && std::strcmp(not_run, "1") == 0)
-    return core::Outcome::kSaturated;
-  return core::Outcome::kErrored;
+  if ((code == 503 || code == 504) && not_run && std::strcmp(not_run, "1") == 0) return Outcome::kSaturated;
+  return Outcome::kErrored;
 }
 
 void ReadTold(const std::vector<std::string>& fields, const Header& header, core::Ended* ended) {
@@ -131,14 +130,14 @@
     e.zone = std::max(0, IndexOf(config.names.zones, member.value("locality", "")));
     e.kind = std::max(0, IndexOf(config.names.kinds, member.value("flavor", "")));
     e.scale = member.value("size", 1.0);
-    e.launched = member.value("up_since_ms", core::Time{0}) * 1000;
+    e.launched = member.value("up_since_ms", Time{0}) * 1000;
     list.addresses.push_back(member.value("host_port", ""));
     list.entries.push_back(std::move(e));
   }
   return list;
 }
 
-std::string Seconds(core::Time time) {
+std::string Seconds(Time time) {
   char text[32];
   std::snprintf(text, sizeof text, "%.6f", static_cast<double>(time) / 1e6);
   return text;
--- a/src/net/messages.h
+++ b/src/net/messages.h
@@ -25,10 +25,10 @@
 
 // Reads what the decisions need. Returns what is wrong, if anything is.
 std::optional<std::string> ReadRequest(const Config& config, const HttpRequest& request, const Header& header,
-                                       core::Arrived* arrived, core::Time* patience);
+                                       core::Arrived* arrived, Time* patience);
 
 // The outcome that a target's whole answer stands for.
-core::Outcome OutcomeOf(int code, const Header& header);
+Outcome OutcomeOf(int code, const Header& header);
 // What else an answer tells.
 void ReadTold(const std::vector<std::string>& fields, const Header& header, core::Ended* ended);
 
@@ -41,7 +41,7 @@
 // Throws std::exception on what is malformed.
 TargetList ReadList(const Config& config, const nlohmann::json& json);
 
-std::string Seconds(core::Time time);  // as decimals
+std::string Seconds(Time time);  // as decimals
 
 }  // namespace walnutspur::net
 
