--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include <cstring>
+#include <mutex>
 #include <stdexcept>
 #include <vector>
 
@@ -32,10 +33,15 @@
 
 }  // namespace
 
-// Whose listener it is: evhttp keeps a listener's only argument for itself.
-std::unordered_map<evconnlistener*, HttpFront*>& HttpFront::Fronts() {
-  thread_local std::unordered_map<evconnlistener*, HttpFront*> fronts;
-  return fronts;
+// Whose listener it is: evhttp keeps a listener's only argument for itself. Of the whole process, since a
+// loop may run on another thread than the one that made the front.
+HttpFront* HttpFront::FrontOf(evconnlistener* listener, HttpFront* change) {
+  static std::mutex mutex;
+  static std::unordered_map<evconnlistener*, HttpFront*> fronts;
+  const std::lock_guard lock(mutex);
+  if (change) fronts[listener] = change;
+  const auto at = fronts.find(listener);
+  return at == fronts.end() ? nullptr : at->second;
 }
 
 HttpFront::HttpFront(event_base* base, const Config& config, Serials* serials, core::Post post)
@@ -69,8 +75,8 @@
                              std::to_string(config.listen.port) + ": " + std::strerror(errno));
   listener_ = evhttp_bound_socket_get_listener(bound);
   evconnlistener_set_error_cb(listener_,
-                              [](evconnlistener* listener, void*) { Fronts()[listener]->OnAcceptError(); });
-  Fronts()[listener_] = this;
+                              [](evconnlistener* listener, void*) { FrontOf(listener)->OnAcceptError(); });
+  FrontOf(listener_, this);
   sockaddr_in address{};
   socklen_t length = sizeof address;
   getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&address), &length);
@@ -82,7 +88,6 @@
 }
 
 HttpFront::~HttpFront() {
-  Fronts().erase(listener_);
   held_.clear();
   for (auto& [connection, client] : clients_) evhttp_connection_set_closecb(connection, nullptr, nullptr);
 }
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -49,7 +49,7 @@
     Watcher deadline;
   };
 
-  static std::unordered_map<evconnlistener*, HttpFront*>& Fronts();
+  static HttpFront* FrontOf(evconnlistener* listener, HttpFront* change = nullptr);
   Client& ClientOf(evhttp_connection* connection);
   void OnAccept();
   void OnClosed(evhttp_connection* connection);
--- a/src/net/initiator.cpp
+++ b/src/net/initiator.cpp
@@ -60,6 +60,8 @@
       base_.get(), config_,
       [this](walnutspur::Membership list, const TargetList& raw) { OnList(std::move(list), raw); });
   term_ = Watcher(base_.get(), SIGTERM, EV_SIGNAL | EV_PERSIST, [this] { Drain(); });
+  // An event of its own: activating a signal's event by hand calls nothing.
+  stop_ = Watcher(base_.get(), -1, EV_PERSIST, [this] { Drain(); });
   interrupt_ = Watcher(base_.get(), SIGINT, EV_SIGNAL | EV_PERSIST, [this] { Drain(); });
   leave_ = MakeTimer(base_.get(), [this] { Leave(); });
   last_ = MakeTimer(base_.get(), [this] { event_base_loopbreak(base_.get()); });
@@ -110,7 +112,9 @@
   event_base_loop(base_.get(), EVLOOP_NO_EXIT_ON_EMPTY);
 }
 
-void Initiator::Stop() { term_.Activate(); }
+void Initiator::Stop() { stop_.Activate(); }
+
+void Initiator::Halt() { event_base_loopbreak(base_.get()); }
 
 void Initiator::OnList(walnutspur::Membership list, const TargetList& raw) {
   for (std::size_t i = 0; i < raw.entries.size(); ++i) {
--- a/src/net/initiator.h
+++ b/src/net/initiator.h
@@ -39,7 +39,8 @@
 
   // Serves until it is told to stop and has answered what it took.
   void Run();
-  void Stop();  // like SIGTERM
+  void Stop();  // like SIGTERM; from any thread
+  void Halt();  // ends at once, whatever is unanswered; from any thread
 
   event_base* base() { return base_.get(); }
   HttpFront& front() { return *front_; }
@@ -80,7 +81,7 @@
   std::uint64_t next_ring_ = 0;
   std::map<std::uint64_t, Watcher> rings_;
   Time stopped_ = 0;
-  Watcher outputs_, term_, interrupt_, leave_, last_;
+  Watcher outputs_, stop_, term_, interrupt_, leave_, last_;
   std::unique_ptr<core::Owner> owner_;
 };
 
--- a/src/pcap/traffic.cpp
+++ b/src/pcap/traffic.cpp
@@ -45,11 +45,14 @@
     const int fd = bufferevent_getfd(tap.stream);
     tap.id = writer_.Open(NameOf(getpeername, fd), NameOf(getsockname, fd));
   }
-  std::string bytes(added, '\0');
+  // A bufferevent freezes the start of its output: copying out fails there, peeking does not.
   evbuffer_ptr from;
   evbuffer_ptr_set(buffer, &from, evbuffer_get_length(buffer) - added, EVBUFFER_PTR_SET);
-  evbuffer_copyout_from(buffer, &from, bytes.data(), added);
-  writer_.Data(tap.id, to_server, bytes);
+  const int parts = evbuffer_peek(buffer, static_cast<ev_ssize_t>(added), &from, nullptr, 0);
+  std::vector<evbuffer_iovec> found(static_cast<std::size_t>(std::max(parts, 0)));
+  evbuffer_peek(buffer, static_cast<ev_ssize_t>(added), &from, found.data(), parts);
+  for (const evbuffer_iovec& part : found)
+    writer_.Data(tap.id, to_server, {static_cast<const char*>(part.iov_base), part.iov_len});
 }
 
 bool LooksLikeNbd(const std::string& bytes) {  // the client's flags, then an option
--- /dev/null
+++ b/tests/net/http_test.cpp
@@ -0,0 +1,267 @@
+// What only the platform's protocol has: headers, evhttp's habits, discovery, the end of the program.
+#include <doctest/doctest.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+
+#include "net/messages.h"
+#include "stage.h"
+
+namespace walnutspur::test {
+namespace {
+
+using core::Wire;
+
+TEST_CASE("503 proves that a request never ran only with X-Not-Run") {
+  Stage stage(Wire::kHttp);
+  stage.Play(R"(
+    client c send write
+    box a expect write
+    box a send busy
+    box a expect write
+    box a send busy-may-have
+    client c expect failed
+    box a expect nothing 100)");
+}
+
+TEST_CASE("a refusal is final at once and says when to come back") {
+  Stage stage(Wire::kHttp);
+  stage.Play(R"(
+    box a close listener
+    client c send write
+    client c expect refused)");
+  const double after = std::stod(stage.last().Header("Retry-After"));
+  CHECK(after > 0);
+  CHECK(after <= 0.5);
+}
+
+TEST_CASE("body, path, query and id pass on as the bytes that came") {
+  Stage stage(Wire::kHttp);
+  stage.Play(R"(
+    client c send bytes "PUT /api/00000003B4d60021/7f3a9c21e0b4d655?x=%2F%zz&y HTTP/1.1\r\nHost: s\r\nX-Request-Id: 9B1f03aa5c7e2d41\r\nX-Class: write\r\nX-Plan: basic\r\nX-Deadline: 0.48\r\nX-IO: hosts=3, shard=0,units=1\r\nContent-Length: 5\r\n\r\n\x00\xff\n\r\"")");
+  Stage* s = &stage;
+  s->Play("box a expect write");
+  CHECK(s->box_message("a").start == "PUT /api/00000003B4d60021/7f3a9c21e0b4d655?x=%2F%zz&y HTTP/1.1");
+  CHECK(s->box_message("a").Header("X-Request-Id") == "9B1f03aa5c7e2d41");
+  CHECK(s->box_message("a").body == std::string("\0\xff\n\r\"", 5));
+  CHECK(std::stod(s->box_message("a").Header("X-Deadline")) <= 0.48);
+  stage.Play(R"(
+    box a send ok
+    client c expect served
+    client c expect text stored)");
+}
+
+TEST_CASE("malformed input gets a 4xx and never reaches a target") {
+  const std::string path = "/api/00000003b4d60021/7f3a9c21e0b4d655";
+  const std::string id = "X-Request-Id: 9b1f03aa5c7e2d41\r\n", cls = "X-Class: read\r\n",
+                    plan = "X-Plan: basic\r\n", deadline = "X-Deadline: 0.3\r\n",
+                    io = "X-IO: units=1,shard=0,hosts=1\r\n";
+  const auto get = [&](const std::string& target, const std::string& headers) {
+    return "GET " + target + " HTTP/1.1\r\nHost: s\r\n" + headers + "\r\n";
+  };
+  const std::pair<std::string, const char*> cases[] = {
+      {get(path, cls + plan + deadline + io), "400"},
+      {get(path, "X-Request-Id: nonsense\r\n" + cls + plan + deadline + io), "400"},
+      {get(path, id + "X-Class: unknown\r\n" + plan + deadline + io), "400"},
+      {get(path, id + cls + "X-Plan: unknown\r\n" + deadline + io), "400"},
+      {get(path, id + cls + plan + io), "400"},
+      {get(path, id + cls + plan + "X-Deadline: -1\r\n" + io), "400"},
+      {get(path, id + cls + plan + "X-Deadline: nan\r\n" + io), "400"},
+      {get(path, id + cls + plan + deadline), "400"},
+      {get(path, id + cls + plan + deadline + "X-IO: units=0,shard=0,hosts=1\r\n"), "400"},
+      {get(path, id + cls + plan + deadline + "X-IO: units=99,shard=0,hosts=1\r\n"), "400"},
+      {get(path, id + cls + plan + deadline + "X-IO: units=1,shard=4,hosts=1\r\n"), "400"},
+      {get(path, id + cls + plan + deadline + "X-IO: units=1,shard=0,hosts=0\r\n"), "400"},
+      {get(path, id + cls + plan + deadline + "X-IO: units,shard\r\n"), "400"},
+      {get("/api/xyz/7f3a9c21e0b4d655", id + cls + plan + deadline + io), "400"},
+      {get("/", id + cls + plan + deadline + io), "400"},
+      {"POST " + path + " HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\n" + id + cls + plan + deadline + io +
+           "\r\n",
+       "405"},
+      {"PUT " + path + " HTTP/1.1\r\nHost: s\r\nContent-Length: 70000\r\n" + id + cls + plan + deadline + io +
+           "\r\n",
+       "413"},
+      {"GET\r\n\r\n", "400"},
+  };
+  Stage stage(Wire::kHttp);
+  for (const auto& [text, status] : cases) {
+    CAPTURE(text);
+    Socket socket = Socket::Connect(stage.http_port());
+    socket.Send(text);
+    Message answer;
+    REQUIRE(ReadMessage(socket, &answer, 2'000));
+    CHECK(answer.start.substr(9, 3) == status);
+  }
+  stage.Play("box a expect nothing 50");
+}
+
+// evhttp stops reading while a request waits; a client that sends early must neither end the program nor lose
+// its next request.
+TEST_CASE("a request that comes before the answer to the last is taken in its turn") {
+  Stage stage(Wire::kHttp);
+  stage.Play(R"(
+    client c send read
+    client c send read
+    box a expect read
+    box a expect nothing 50
+    box a send ok
+    client c expect served
+    box a expect read
+    box a send ok
+    client c expect served)");
+}
+
+TEST_CASE("connections are reused, and closed before targets would close them") {
+  Stage stage(Wire::kHttp);
+  stage.Play(R"(
+    client c send read
+    box a expect read
+    box a send ok
+    client c expect served
+    client c send read
+    box a expect read
+    box a send ok
+    client c expect served)");
+  CHECK(stage.initiator().target_connections() == 1);
+  const Time before = core::Now();
+  stage.Play("box a expect closed");  // idle for 1 s in the settings
+  CHECK(core::Now() - before < 950'000);
+  stage.Play(R"(
+    client c send read
+    box a expect read
+    box a send ok-and-closes
+    client c expect served
+    box a close
+    client c send read
+    box a expect read
+    box a send ok
+    client c expect served)");
+}
+
+TEST_CASE("discovery: a failed call, a reset and a restart are followed by a watch from what is held") {
+  Stage stage(Wire::kHttp);
+  stage.Play(R"(
+    discovery close
+    discovery expect watch since=42
+    discovery send 503
+    discovery expect watch since=42
+    discovery send delta a=DRAINING
+    wait 30
+    client c send read
+    client c expect refused
+    box a expect nothing 100)");
+}
+
+TEST_CASE("discovery: a watch that says nothing is given up") {
+  Stage stage(Wire::kHttp);
+  const Time before = core::Now();
+  stage.Play("discovery expect watch since=42");
+  CHECK(core::Now() - before < 5'500'000);
+}
+
+TEST_CASE("after SIGTERM what arrives is taken and answered, then the program ends") {
+  Stage stage(Wire::kHttp);
+  stage.Play(R"(
+    client c send read
+    box a expect read
+    box a send ok
+    client c expect served)");
+  SUBCASE("by the signal") { kill(getpid(), SIGTERM); }
+  SUBCASE("by an embedder's call") { stage.initiator().Stop(); }
+  stage.Play(R"(
+    client bob send read
+    box b expect read
+    box b send ok
+    client bob expect served
+    wait 400
+    client c send read
+    box a expect read
+    wait 100
+    box a send ok
+    client c expect served)");
+  CHECK(stage.Ended(2'000));
+}
+
+TEST_CASE("without descriptors the program goes on, and takes clients again once there are some") {
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  Stage stage(Wire::kHttp);
+  std::vector<Socket> many;
+  const int used = dup(0);
+  close(used);
+  const rlimit few{static_cast<rlim_t>(used) + 24, before.rlim_max};
+  int port = stage.http_port();
+  for (int i = 0; i < 10; ++i) many.push_back(Socket::Connect(port));
+  setrlimit(RLIMIT_NOFILE, &few);
+  for (int i = 0; i < 3; ++i) many.push_back(Socket::Connect(port));
+  stage.Play("wait 150");
+  many.clear();
+  stage.Play("wait 150");
+  stage.Play(R"(
+    client c send read
+    box a expect read
+    box a send ok
+    client c expect served)");
+  setrlimit(RLIMIT_NOFILE, &before);
+}
+
+TEST_CASE("a configuration that is wrong gives one line") {
+  for (const char* text :
+       {"", "{", "{}", R"({"listen":"x"})", R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:x"})",
+        R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":{}})"}) {
+    CAPTURE(text);
+    char path[] = "/tmp/walnutspur-config-XXXXXX";
+    close(mkstemp(path));
+    std::ofstream(path) << text;
+    try {
+      net::LoadConfig(path);
+      FAIL("it was taken");
+    } catch (const std::exception& error) {
+      CHECK(std::string(error.what()).find('\n') == std::string::npos);
+    }
+    std::remove(path);
+  }
+  CHECK_THROWS(net::LoadConfig("/nowhere"));
+  CHECK_THROWS(net::ParseOptions({"--unknown", "x"}));
+  CHECK_THROWS(net::ParseOptions({"--nbd"}));
+}
+
+TEST_CASE("a list entry: an unknown phase wants nothing new, times are microseconds") {
+  const net::Config config = net::ParseConfig([] {
+    auto json = BasicConfig();
+    json["discovery"] = "127.0.0.1:1";
+    return json;
+  }());
+  const auto list = net::ReadList(config, nlohmann::json::parse(R"({"revision":7,"complete":true,"members":[
+      {"id":"x","phase":"ODD","up_since_ms":5,"cell":2},{"id":"y","phase":"DELETED"},{"id":"z","phase":"SERVING"}]})"));
+  CHECK(list.entries[0].phase == Phase::kQuiescing);
+  CHECK(list.entries[0].launched == 5000);
+  CHECK(list.entries[0].cell == 2);
+  CHECK(list.entries[1].phase == Phase::kDead);
+  CHECK(list.entries[2].phase == Phase::kLive);
+  CHECK_THROWS(net::ReadList(config, nlohmann::json::parse(R"({"revision":7})")));
+}
+
+TEST_CASE("what answers tell") {
+  std::map<std::string, std::string> said = {
+      {"X-Volume-Use", "85"}, {"X-Served-Elsewhere", "3"}, {"X-Load", R"({"util":0.5,"queue":2})"}};
+  const net::Header header = [&](const char* name) {
+    return said.contains(name) ? said[name].c_str() : nullptr;
+  };
+  core::Ended ended;
+  net::ReadTold({"queue", "absent"}, header, &ended);
+  CHECK(ended.seen_use == 86);  // the simulator's figure counts one more
+  CHECK(ended.others_got == 3);
+  CHECK(ended.report == std::vector<double>{2, 0});
+  said["X-Load"] = "{";
+  said["X-Volume-Use"] = "many";
+  core::Ended none;
+  net::ReadTold({"queue"}, header, &none);
+  CHECK(none.seen_use == 0);
+  CHECK(none.report.empty());
+}
+
+}  // namespace
+}  // namespace walnutspur::test
