--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -78,6 +78,7 @@
   client->stream.reset(bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE));
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);  // devices on poor links vanish without a word
   Client* c = client.get();
   // A handshake that stalls, at whatever byte, ends with this timer and leaves nothing behind.
   c->handshake = net::MakeTimer(base_, [c] { c->owner->End(*c); });
@@ -208,8 +209,8 @@
 // A client that said goodbye, or sent what is no NBD, gets no further answers; nor is a draining one kept.
 void Front::EndIfIdle(Client& client) {
   if (client.session.ended()) {
-    if (evbuffer_get_length(bufferevent_get_output(client.stream.get())) == 0) End(client);
-    return;
+    if (evbuffer_get_length(bufferevent_get_output(client.stream.get())) == 0) return End(client);
+    return client.handshake.Start(config_.handshake);  // it may never read what is left for it
   }
   if (draining_ && client.in_flight.empty() &&
       evbuffer_get_length(bufferevent_get_output(client.stream.get())) == 0)
