--- a/src/net/initiator.h
+++ b/src/net/initiator.h
@@ -46,7 +46,6 @@
   HttpFront& front() { return *front_; }
   nbd::Front* nbd_front() { return nbd_front_.get(); }
   const pcap::Player* player() const { return player_.get(); }
-  std::size_t target_connections() const { return targets_->connections(); }
   std::size_t box_connections() const { return boxes_ ? boxes_->connections() : 0; }
 
  private:
--- a/tests/net/stage.h
+++ b/tests/net/stage.h
@@ -66,6 +66,7 @@
   net::Initiator& initiator() { return *initiator_; }
   void Halt();
   bool Ended(int ms);  // whether the initiator's loop has ended by itself
+  std::size_t box_links(const std::string& name) const { return boxes_.at(name).links.size(); }
   int http_port() const { return http_port_; }
   int nbd_port() const { return nbd_port_; }
   const Message& last() const { return last_; }
