Make room where clients only hold connections; make NBD writes durable for later flushes

The bound is checked before the listener resumes, and the clients idle the longest are closed. A flush on one connection does not cover writes on another: writes carry FUA where the box offers it without CAN_MULTI_CONN.

--- a/src/nbd/boxes.cpp
+++ b/src/nbd/boxes.cpp
@@ -105,6 +105,10 @@
   Out& out = out_.at(key);
   Request request = static_cast<const CommandPayload&>(*out.attempt.payload).request;
   request.cookie = out.cookie = next_cookie_++;
+  // A flush covers what was written on its own connection, unless the box says otherwise, and here a write
+  // and the flush after it may take two: such writes are durable by themselves where the box can do that.
+  if (request.type == kWrite && (c.session.flags() & (kSendFua | kCanMultiConn)) == kSendFua)
+    request.flags |= kFua;
   c.in_flight[out.cookie] = key;
   std::string bytes;
   c.session.Send(request, &bytes);
--- a/src/nbd/codec.cpp
+++ b/src/nbd/codec.cpp
@@ -183,7 +183,7 @@
           std::find_if(exports_.begin(), exports_.end(), [&](const Export& e) { return e.name == data; });
       if (at == exports_.end()) return End("no such export");
       Put(at->size, out);
-      Put<std::uint16_t>(kHasFlags | kSendFlush, out);
+      Put(at->flags, out);
       if (zeroes_) out->append(kZeroes, '\0');
       chosen_ = &*at;
       state_ = State::kHeader;
@@ -230,7 +230,7 @@
   std::string info;
   Put(kInfoExport, &info);
   Put(at->size, &info);
-  Put<std::uint16_t>(kHasFlags | kSendFlush, &info);
+  Put(at->flags, &info);
   AnswerOption(kInfoReply, info, out);
   info.clear();
   Put(kInfoBlockSize, &info);
--- a/src/nbd/codec.h
+++ b/src/nbd/codec.h
@@ -47,12 +47,14 @@
   kNotSupported = 95,
   kShutdown = 108
 };
-constexpr std::uint16_t kHasFlags = 1, kReadOnly = 2, kSendFlush = 4;  // of an export
+constexpr std::uint16_t kHasFlags = 1, kSendFlush = 4, kSendFua = 8, kCanMultiConn = 256;  // of an export
+constexpr std::uint16_t kFua = 1;  // of a command: durable once it is answered
 
 struct Export {
   std::string name;
   std::uint64_t size = 0;
   std::uint32_t largest = 0;  // bytes of one command
+  std::uint16_t flags = kHasFlags | kSendFlush;
 };
 
 struct Request {
--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -4,6 +4,7 @@
 #include <event2/buffer.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <cstring>
 #include <stdexcept>
@@ -46,7 +47,10 @@
       most_(most),
       next_serial_(std::move(next_serial)),
       post_(std::move(post)),
-      resume_(net::MakeTimer(base, [this] { evconnlistener_enable(listener_.get()); })) {
+      resume_(net::MakeTimer(base, [this] {
+        if (clients_.size() >= most_) return Pause();
+        evconnlistener_enable(listener_.get());
+      })) {
   sockaddr_in address = net::ToSocket(net::ParseAddress(config.listen));
   listener_.reset(evconnlistener_new_bind(
       base,
@@ -76,6 +80,10 @@
   client->owner = this;
   client->number = next_client_++;
   client->stream.reset(bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE));
+  if (!client->stream) {
+    close(fd);
+    return;
+  }
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);  // devices on poor links vanish without a word
--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstring>
 #include <mutex>
 #include <stdexcept>
@@ -23,9 +24,10 @@
 
 constexpr std::size_t kMostBody = 64 * 1024;
 constexpr std::size_t kMostHeaders = 16 * 1024;
-constexpr int kIdleSeconds = 300;       // a client's connection may stay idle so long
+constexpr int kIdleSeconds = 60;        // a client's connection may stay idle so long
 constexpr Time kAcceptAgain = 50'000;   // us without accepting after a failed accept
 constexpr Time kDeadlineGuard = 5'000;  // us past the deadline: attempts' own timers come first
+constexpr std::size_t kMakeRoom = 16;   // idle clients that go at a time
 constexpr double kClientPart = 0.55;    // of the descriptors; the rest is for targets and the loop
 constexpr short kEveryMethod = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
                                EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_TRACE |
@@ -63,7 +65,7 @@
       http_.get(),
       [](event_base* own, void* arg) {
         auto* self = static_cast<HttpFront*>(arg);
-        self->OnAccept();
+        if (self->Full()) self->OnAcceptError();
         bufferevent* stream = bufferevent_socket_new(own, -1, BEV_OPT_CLOSE_ON_FREE);
         if (stream && self->on_accept) self->on_accept(stream);
         return stream;
@@ -82,6 +84,7 @@
   getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&address), &length);
   port_ = ntohs(address.sin_port);
   resume_ = MakeTimer(base, [this] {
+    if (Full()) return OnAcceptError();  // else a client more would come with every pause
     paused_ = false;
     evconnlistener_enable(listener_);
   });
@@ -94,10 +97,10 @@
 
 // Guards the descriptors: with too many of them in use, further clients wait in the listener's backlog. A new
 // descriptor is the lowest that is free, so one past the bound tells that all below it are taken.
-void HttpFront::OnAccept() {
+bool HttpFront::Full() const {
   const int lowest = dup(evconnlistener_get_fd(listener_));
   if (lowest >= 0) close(lowest);
-  if (lowest < 0 || lowest >= most_descriptors_) OnAcceptError();
+  return lowest < 0 || lowest >= most_descriptors_;
 }
 
 HttpFront::Client& HttpFront::ClientOf(evhttp_connection* connection) {
@@ -117,6 +120,12 @@
   if (!paused_) evconnlistener_disable(listener_);
   paused_ = true;
   resume_.Start(kAcceptAgain);
+  // Links that were cut leave connections that say nothing: the ones idle the longest make room.
+  std::vector<evhttp_connection*> idle = Idle();
+  std::sort(idle.begin(), idle.end(),
+            [this](auto* a, auto* b) { return clients_[a].since < clients_[b].since; });
+  if (idle.size() > kMakeRoom) idle.resize(kMakeRoom);
+  for (evhttp_connection* connection : idle) evhttp_connection_free(connection);
 }
 
 void HttpFront::OnClosed(evhttp_connection* connection) {
@@ -201,6 +210,7 @@
   Client& client = clients_[at->second.connection];
   client.left = {};
   client.serial = 0;
+  client.since = core::Now();
   held_.erase(at);
   switch (answer.verdict) {
     case core::Verdict::kServed:
@@ -216,8 +226,7 @@
   }
 }
 
-void HttpFront::Drain() {
-  draining_ = true;
+std::vector<evhttp_connection*> HttpFront::Idle() const {
   std::vector<evhttp_connection*> idle;
   for (const auto& [connection, client] : clients_) {
     bufferevent* stream = evhttp_connection_get_bufferevent(connection);
@@ -226,7 +235,12 @@
         evbuffer_get_length(bufferevent_get_output(stream)) == 0)
       idle.push_back(connection);
   }
-  for (evhttp_connection* connection : idle) evhttp_connection_free(connection);
+  return idle;
+}
+
+void HttpFront::Drain() {
+  draining_ = true;
+  for (evhttp_connection* connection : Idle()) evhttp_connection_free(connection);
 }
 
 }  // namespace walnutspur::net
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "core/port.h"
 #include "net/config.h"
@@ -41,6 +42,7 @@
  private:
   struct Client {
     core::Serial serial = 0;  // the request that waits; 0: none
+    Time since = 0;           // its last answer
     Watcher left;             // the client closes while its request waits
   };
   struct Held {
@@ -51,7 +53,8 @@
 
   static HttpFront* FrontOf(evconnlistener* listener, HttpFront* change = nullptr);
   Client& ClientOf(evhttp_connection* connection);
-  void OnAccept();
+  bool Full() const;
+  std::vector<evhttp_connection*> Idle() const;
   void OnClosed(evhttp_connection* connection);
   void OnRequest(evhttp_request* request);
   void OnAcceptError();
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -207,6 +207,26 @@
   setrlimit(RLIMIT_NOFILE, &before);
 }
 
+TEST_CASE("clients that only hold connections make room for those that come") {
+  auto config = BasicConfig();
+  const int used = dup(0);
+  close(used);
+  config["limits"]["sockets"] = (used + 60) * 100 / 55;
+  Stage stage(Wire::kHttp, config);
+  std::vector<Socket> idle;
+  for (int i = 0; i < 70; ++i) {
+    idle.push_back(Socket::Connect(stage.http_port()));
+    idle.back().Send("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n");
+  }
+  Message answer;
+  for (Socket& socket : idle) CHECK(ReadMessage(socket, &answer, 4'000));  // each in the end
+  stage.Play(R"(
+    client c send read
+    box a expect read
+    box a send ok
+    client c expect served)");
+}
+
 TEST_CASE("a configuration that is wrong gives one line") {
   for (const char* text :
        {"", "{", "{}", R"({"listen":"x"})", R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:x"})",
--- a/tests/net/nbd_test.cpp
+++ b/tests/net/nbd_test.cpp
@@ -12,7 +12,8 @@
 using namespace std::string_literals;
 using core::Wire;
 
-const std::vector<nbd::Export> kExports = {{"a", 1 << 20, 65536}, {"other", 4096, 4096}};
+constexpr std::uint16_t kFlags = nbd::kHasFlags | nbd::kSendFlush;
+const std::vector<nbd::Export> kExports = {{"a", 1 << 20, 65536, kFlags}, {"other", 4096, 4096, kFlags}};
 const std::string kOption = "IHAVEOPT";
 const std::string kReplyMagic = "\x00\x03\xe8\x89\x04\x55\x65\xa9"s;
 
@@ -357,6 +358,14 @@
     client d expect served)");
 }
 
+TEST_CASE("a write to a box whose flush covers one connection only is durable by itself") {
+  Stage stage(Wire::kNbd);
+  stage.Play("client c send write\n box a expect write");
+  CHECK(stage.box_request("a").flags == nbd::kFua);
+  stage.Play("box a send ok\n client c expect served\n client c send read\n box a expect read");
+  CHECK(stage.box_request("a").flags == 0);
+}
+
 TEST_CASE("a disconnect in flight takes the commands along") {
   Stage stage(Wire::kNbd);
   stage.Play(R"(
--- a/tests/net/stage.cpp
+++ b/tests/net/stage.cpp
@@ -196,7 +196,7 @@
       file << "[[box]]\nid = \"" << name << "\"\naddress = \"127.0.0.1:" << box.port << "\"\n"
            << "[[export]]\nname = \"" << name << "\"\nvolume = \"v\"\nplan = \"basic\"\nshard = " << box.cell
            << "\nbox = \"" << name << "\"\nsize = 1048576\n";
-      exports_.push_back({name, 1048576, 65536});
+      exports_.push_back({name, 1048576, 65536, nbd::kHasFlags | nbd::kSendFlush | nbd::kSendFua});
     }
   }
   initiator_ = std::make_unique<net::Initiator>(net::ParseConfig(config), options);
--- a/tests/net/stage.h
+++ b/tests/net/stage.h
@@ -67,6 +67,7 @@
   void Halt();
   bool Ended(int ms);  // whether the initiator's loop has ended by itself
   std::size_t box_links(const std::string& name) const { return boxes_.at(name).links.size(); }
+  const nbd::Request& box_request(const std::string& name) const { return boxes_.at(name).request; }
   int http_port() const { return http_port_; }
   int nbd_port() const { return nbd_port_; }
   const Message& last() const { return last_; }
