--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -248,6 +248,38 @@
   CHECK_THROWS(net::ParseOptions({"--nbd"}));
 }
 
+TEST_CASE("a probe asks the box and tells what it reports") {
+  auto json = BasicConfig();
+  json["discovery"] = "127.0.0.1:1";
+  const net::Config config = net::ParseConfig(json);
+  const net::BaseRef base(event_base_new());
+  std::vector<core::Probed> heard;
+  net::HttpTargets targets(base.get(), config, [&](core::Input input) {
+    heard.push_back(std::get<core::Probed>(input));
+    event_base_loopbreak(base.get());
+  });
+  int port = 0;
+  Socket listener = Socket::Listen(&port);
+  targets.Learn("t", "127.0.0.1:" + std::to_string(port));
+  targets.Probe("nowhere");
+  targets.Probe("t");
+  std::thread box([&] {
+    Socket link = listener.Accept();
+    Message request;
+    if (!ReadMessage(link, &request, 2'000) || !request.start.starts_with("GET /-/healthy")) return;
+    link.Send("HTTP/1.1 200 OK\r\nX-Load: {\"queue\":4}\r\nContent-Length: 0\r\n\r\n");
+    link.Fill(2'000);
+  });
+  event_base_dispatch(base.get());
+  targets.Withdraw("t");  // closes the idle connection
+  event_base_loop(base.get(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+  box.join();
+  REQUIRE(heard.size() == 2);
+  CHECK(heard[0].result.outcome == Outcome::kRefusedConn);
+  CHECK(heard[1].result.outcome == Outcome::kCompleted);
+  CHECK(heard[1].result.report == std::vector<double>{4});
+}
+
 TEST_CASE("a list entry: an unknown phase wants nothing new, times are microseconds") {
   const net::Config config = net::ParseConfig([] {
     auto json = BasicConfig();
