Answer methods that evhttp has no name for with 405 instead of its 501

Seen with a probe on loopback: FOO and lower-case get got evhttp's 501. The fault: allowed methods named only the standard's (http_front.cpp, kEveryMethod), and evhttp answers all others before the front sees them. Allowing every bit passes them on; a case in the malformed-input test covers it.

--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -29,9 +29,8 @@
 constexpr Time kDeadlineGuard = 5'000;  // us past the deadline: attempts' own timers come first
 constexpr std::size_t kMakeRoom = 16;   // idle clients that go at a time
 constexpr double kClientPart = 0.55;    // of the descriptors; the rest is for targets and the loop
-constexpr short kEveryMethod = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
-                               EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_TRACE |
-                               EVHTTP_REQ_CONNECT | EVHTTP_REQ_PATCH;
+// Also those that evhttp has no name for: it would answer them 501 by itself.
+constexpr std::uint16_t kEveryMethod = 0xffff;
 
 }  // namespace
 
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -83,6 +83,7 @@
       {"PUT " + path + " HTTP/1.1\r\nHost: s\r\nContent-Length: 70000\r\n" + id + cls + plan + deadline + io +
            "\r\n",
        "413"},
+      {"FOO " + path + " HTTP/1.1\r\nHost: s\r\n" + id + cls + plan + deadline + io + "\r\n", "405"},
       {"GET\r\n\r\n", "400"},
   };
   Stage stage(Wire::kHttp);
