Say which field is at fault when the known list cannot be read

Seen: a wrong 'known' ended the start with a line that named only a JSON type. initiator.cpp passed ReadList's words on as they were; it now says that it is 'known'. A case covers it.

--- a/src/net/initiator.cpp
+++ b/src/net/initiator.cpp
@@ -66,7 +66,11 @@
   leave_ = MakeTimer(base_.get(), [this] { Leave(); });
   last_ = MakeTimer(base_.get(), [this] { event_base_loopbreak(base_.get()); });
   TargetList known;
-  if (config_.known.is_object()) known = ReadList(config_, config_.known);
+  try {
+    if (config_.known.is_object()) known = ReadList(config_, config_.known);
+  } catch (const std::exception& error) {
+    throw std::runtime_error(std::string("'known' cannot be read: ") + error.what());
+  }
   // What was known at the last start may be old: discovery is asked for what came after it.
   owner_ = std::make_unique<core::Owner>(config_.settings, config_.seed, [this] { outputs_.Activate(); });
   if (config_.known.is_object()) {
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -245,6 +245,10 @@
     std::remove(path);
   }
   CHECK_THROWS(net::LoadConfig("/nowhere"));
+  auto config = BasicConfig();
+  config["discovery"] = "127.0.0.1:1";
+  config["known"] = {{"revision", "x"}};
+  CHECK_THROWS_WITH(net::Initiator(net::ParseConfig(config)), doctest::Contains("'known'"));
   CHECK_THROWS(net::ParseOptions({"--unknown", "x"}));
   CHECK_THROWS(net::ParseOptions({"--nbd"}));
 }
