Read targets' answers strictly over bufferevents, since evhttp serves spoilt ones

Checked: tests/net/garble_test.cpp against the old HttpTargets. evhttp (a) takes lines without CR and heads with strange headers, so a spoilt answer is served; (b) leaves what comes behind an answer in the connection's input buffer, from where HttpTargets::KeepIdle and the next Launch made it the next request's answer ("false" in place of "stored"); (c) takes any 1xx but 100 for the answer, which ended as an error or a refusal. It offers no hook before it has parsed a head, so this part goes to bufferevents. Ruled out: the engine (it passes on what the connector reports) and the module (its refusals rested on outcomes that were wrong).

Now: HttpReader reads one message strictly and knows where it ends; a spoilt answer is `severed` (may have run) and closes the connection at once, as do surplus bytes, behind an answer or while idle; an idle connection is looked at once more before it is used. Lengths that are absent, repeated, signed, beside Transfer-Encoding or too large spoil an answer before any of its body is kept. A load report or figure of use that cannot be read is passed over. Addresses of targets that are gone are forgotten.

--- /dev/null
+++ b/src/net/http_reader.h
@@ -0,0 +1,70 @@
+// Reads one HTTP/1.1 message from bytes that come in pieces of any size, and says where it ends. No sockets.
+//
+// It is strict, because the next message begins where this one is taken to end: what leaves the length in
+// doubt (Content-Length twice, or beside Transfer-Encoding, or not plain digits) spoils the message and with
+// it the connection. It keeps no more than the limits allow, whatever a message claims.
+#ifndef WALNUTSPUR_NET_HTTP_READER_H_
+#define WALNUTSPUR_NET_HTTP_READER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace walnutspur::net {
+
+class HttpReader {
+ public:
+  enum class Kind { kRequest, kAnswer };
+  explicit HttpReader(Kind kind) : kind_(kind) {}
+
+  // Takes bytes up to the end of the message at most; returns how many it took. The rest is not its own.
+  std::size_t Feed(std::string_view bytes);
+
+  bool begun() const { return taken_ > 0; }
+  bool head() const { return state_ > State::kFields; }  // the head is read whole
+  bool whole() const { return state_ == State::kWhole; }
+  bool spoilt() const { return state_ == State::kSpoilt; }
+  int status() const { return status_; }           // spoilt: the HTTP status that says how
+  const std::string& why() const { return why_; }  // spoilt: in a few words
+
+  const std::string& method() const { return method_; }  // of a request
+  const std::string& uri() const { return uri_; }
+  int code() const { return code_; }  // of an answer
+  // The value of a header, or null; names are taken without regard to case.
+  const char* Find(std::string_view name) const;
+  std::size_t Count(std::string_view name) const;
+  std::string& body() { return body_; }
+  bool keeps() const { return keeps_; }          // the sender goes on with the connection after this
+  bool continues() const { return continues_; }  // a request whose body waits for a 100
+
+ private:
+  enum class State { kStart, kFields, kBody, kSize, kData, kDataEnd, kTrailer, kWhole, kSpoilt };
+
+  void OnLine(std::string_view line);
+  void OnStart(std::string_view line);
+  void OnField(std::string_view line);
+  void OnHead();
+  void OnSize(std::string_view line);
+  void Spoil(int status, std::string why);
+
+  Kind kind_;
+  State state_ = State::kStart;
+  std::size_t taken_ = 0;  // bytes of lines, which are bounded together
+  std::string line_;
+  std::string method_, uri_;
+  int code_ = 0;
+  bool old_ = false;  // HTTP/1.0
+  bool keeps_ = true, continues_ = false;
+  std::vector<std::pair<std::string, std::string>> fields_;
+  std::uint64_t left_ = 0;  // of the body or chunk
+  std::string body_;
+  int status_ = 0;
+  std::string why_;
+};
+
+}  // namespace walnutspur::net
+
+#endif  // WALNUTSPUR_NET_HTTP_READER_H_
--- a/src/net/http_targets.cpp
+++ b/src/net/http_targets.cpp
@@ -1,8 +1,8 @@
 #include "net/http_targets.h"
 
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/http_struct.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 
@@ -11,12 +11,18 @@
 namespace walnutspur::net {
 namespace {
 
-constexpr std::size_t kMostBody = 64 * 1024;
-constexpr std::size_t kMostHeaders = 16 * 1024;
 constexpr double kTargetPart = 0.4;   // of the descriptors
 constexpr double kIdlePart = 0.8;     // of the time after which targets close idle connections
 constexpr Time kProbeWait = 250'000;  // us
 
+std::string Wording(const HttpRequest* request, const std::string& host, Time limit) {
+  if (!request) return "GET /-/healthy HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
+  std::string text = (request->put ? "PUT " : "GET ") + request->uri + " HTTP/1.1\r\nHost: " + host +
+                     "\r\nX-Request-Id: " + request->id + "\r\nX-Deadline: " + Seconds(limit) + "\r\n";
+  if (request->put) text += "Content-Length: " + std::to_string(request->body.size()) + "\r\n";
+  return text + "\r\n" + request->body;
+}
+
 }  // namespace
 
 HttpTargets::HttpTargets(event_base* base, const Config& config, core::Post post)
@@ -26,16 +32,33 @@
       most_(static_cast<std::size_t>(config.sockets * kTargetPart)),
       sweep_(MakeTimer(base, [this] { discarded_.clear(); })) {}
 
-HttpTargets::~HttpTargets() {
-  for (auto& [number, connection] : connections_)
-    evhttp_connection_set_closecb(connection->link.get(), nullptr, nullptr);
-}
+HttpTargets::~HttpTargets() = default;
 
 void HttpTargets::Learn(const TargetId& target, const std::string& address) {
   std::string& known = addresses_[target];
   if (known == address) return;
   known = address;
-  const auto idle = std::exchange(idle_[target], {});
+  CloseIdle(target);
+}
+
+void HttpTargets::Forget(const TargetId& target) {
+  addresses_.erase(target);
+  CloseIdle(target);
+}
+
+void HttpTargets::KeepOnly(const std::set<TargetId>& targets) {
+  std::vector<TargetId> gone;
+  for (const auto& [target, address] : addresses_) {
+    if (!targets.contains(target)) gone.push_back(target);
+  }
+  for (const TargetId& target : gone) Forget(target);
+}
+
+void HttpTargets::CloseIdle(const TargetId& target) {
+  const auto at = idle_.find(target);
+  if (at == idle_.end()) return;
+  const auto idle = std::move(at->second);
+  idle_.erase(at);
   for (Connection* connection : idle) Discard(*connection);
 }
 
@@ -48,83 +71,93 @@
   Launch({0, static_cast<int>(++probes_)}, target, kProbeWait, nullptr);
 }
 
+// An idle connection on which something has come, be it the end, is none to send on: what came would be taken
+// for the answer to the next request, and a request that meets the end may have run for all one can tell.
 HttpTargets::Connection* HttpTargets::TakeIdle(const TargetId& target) {
-  auto& idle = idle_[target];
-  if (idle.empty()) return nullptr;
-  Connection* connection = idle.back();
-  idle.pop_back();
-  connection->idle.Stop();
-  return connection;
+  while (true) {
+    const auto at = idle_.find(target);
+    if (at == idle_.end()) return nullptr;
+    Connection* connection = at->second.back();
+    char byte;
+    if (recv(bufferevent_getfd(connection->stream.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0) {
+      Discard(*connection);
+      continue;
+    }
+    at->second.pop_back();
+    if (at->second.empty()) idle_.erase(at);
+    connection->idle.Stop();
+    return connection;
+  }
 }
 
 // Descriptors are bounded: an idle connection to another target makes room for a new one.
 bool HttpTargets::MakeRoom() {
   if (connections_.size() < most_) return true;
-  for (auto& [target, idle] : idle_) {
-    if (idle.empty()) continue;
-    Connection* oldest = idle.front();
-    idle.erase(idle.begin());
-    Discard(*oldest);
-    return true;
-  }
-  return false;
+  if (idle_.empty()) return false;
+  Discard(*idle_.begin()->second.front());
+  return true;
 }
 
 HttpTargets::Connection* HttpTargets::Open(const TargetId& target) {
   const auto known = addresses_.find(target);
   if (known == addresses_.end() || known->second.empty() || !MakeRoom()) return nullptr;
+  sockaddr_in address{};
+  try {
+    address = ToSocket(ParseAddress(known->second));
+  } catch (const std::exception&) {
+    return nullptr;  // discovery named no address that can be reached
+  }
   auto connection = std::make_unique<Connection>();
   Connection* c = connection.get();
   c->owner = this;
   c->number = next_++;
   c->target = target;
-  const Address address = ParseAddress(known->second);
-  c->link.reset(
-      evhttp_connection_base_bufferevent_new(base_, nullptr, nullptr, address.host.c_str(), address.port));
-  if (!c->link) return nullptr;
-  evhttp_connection_set_retries(c->link.get(), 0);  // it must never send a request twice by itself
-  evhttp_connection_set_max_body_size(c->link.get(), kMostBody);
-  evhttp_connection_set_max_headers_size(c->link.get(), kMostHeaders);
-  evhttp_connection_set_closecb(
-      c->link.get(),
-      [](evhttp_connection*, void* arg) {
+  c->stream.reset(bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+  if (!c->stream) return nullptr;
+  bufferevent_setcb(
+      c->stream.get(),
+      [](bufferevent*, void* arg) {
         auto* self = static_cast<Connection*>(arg);
-        self->closed = true;  // what is drained from the output from here on was not written
-        if (self->attempt) return;
-        std::erase(self->owner->idle_[self->target], self);
-        self->owner->Discard(*self);
+        self->owner->OnRead(*self);
       },
-      c);
-  evbuffer_add_cb(
-      bufferevent_get_output(evhttp_connection_get_bufferevent(c->link.get())),
-      [](evbuffer* buffer, const evbuffer_cb_info* info, void* arg) {
+      nullptr,
+      [](bufferevent* stream, short what, void* arg) {
         auto* self = static_cast<Connection*>(arg);
-        self->owner->OnOutput(*self, *info, evbuffer_get_length(buffer));
+        if (what & BEV_EVENT_CONNECTED) {
+          self->connected = true;
+          self->connect.Stop();
+          const int on = 1;
+          setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        }
+        if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))) return;
+        if (self->attempt) return self->owner->Break(*self, Outcome::kSevered);
+        self->owner->Discard(*self);
       },
       c);
   const std::uint64_t number = c->number;
-  c->connect = MakeTimer(base_, [this, number] {
-    const auto at = connections_.find(number);
-    if (at != connections_.end()) Break(*at->second, Outcome::kRefusedConn);
-  });
-  c->limit = MakeTimer(base_, [this, number] {
+  const auto breaks = [this, number](Outcome outcome) {
     const auto at = connections_.find(number);
-    if (at != connections_.end()) Break(*at->second, Outcome::kOverdue);
-  });
+    if (at != connections_.end()) Break(*at->second, outcome);
+  };
+  c->connect = MakeTimer(base_, [breaks] { breaks(Outcome::kRefusedConn); });
+  c->limit = MakeTimer(base_, [breaks] { breaks(Outcome::kOverdue); });
   c->idle = MakeTimer(base_, [this, number] {
     const auto at = connections_.find(number);
-    if (at == connections_.end()) return;
-    std::erase(idle_[at->second->target], at->second.get());
-    Discard(*at->second);
+    if (at != connections_.end()) Discard(*at->second);
   });
   connections_[number] = std::move(connection);
+  bufferevent_enable(c->stream.get(), EV_READ | EV_WRITE);
+  if (bufferevent_socket_connect(c->stream.get(), reinterpret_cast<sockaddr*>(&address), sizeof address) !=
+      0) {
+    Discard(*c);
+    return nullptr;
+  }
   return c;
 }
 
 void HttpTargets::Launch(const Key& key, const TargetId& target, Time limit, const HttpRequest* request) {
   Connection* c = TakeIdle(target);
-  const bool fresh = !c;
-  if (fresh) c = Open(target);
+  if (!c) c = Open(target);
   if (!c) {  // no address or no descriptor: never sent
     core::Ended ended;
     ended.serial = key.first;
@@ -135,70 +168,62 @@
   }
   c->attempt = key;
   c->sent = core::Now();
-  c->written = false;
+  c->answer = HttpReader(HttpReader::Kind::kAnswer);
   attempts_[key] = c;
-  // Neither ever outlives its connection: evhttp calls back at most once and not after it is freed.
-  evhttp_request* out = evhttp_request_new(
-      [](evhttp_request* answer, void* arg) {
-        auto* self = static_cast<Connection*>(arg);
-        self->owner->OnAnswer(*self, answer);
-      },
-      c);
-  auto* headers = evhttp_request_get_output_headers(out);
-  evhttp_add_header(headers, "Host", addresses_[target].c_str());
-  if (request) {
-    evhttp_add_header(headers, "X-Request-Id", request->id.c_str());
-    evhttp_add_header(headers, "X-Deadline", Seconds(limit).c_str());
-    if (!request->body.empty())
-      evbuffer_add(evhttp_request_get_output_buffer(out), request->body.data(), request->body.size());
-  }
-  if (fresh) c->connect.Start(config_.dial);
+  if (!c->connected) c->connect.Start(config_.dial);
   c->limit.Start(limit);
-  const auto method = request && request->put ? EVHTTP_REQ_PUT : EVHTTP_REQ_GET;
-  const char* uri = request ? request->uri.c_str() : "/-/healthy";
-  if (evhttp_make_request(c->link.get(), out, method, uri) != 0) Break(*c, Outcome::kRefusedConn);
-}
-
-// evhttp tells neither that a connection has come up nor that a request has left; its output buffer does: it
-// is filled once the connection is up and empty once the last byte is written.
-void HttpTargets::OnOutput(Connection& c, const evbuffer_cb_info& info, std::size_t left) {
-  if (c.closed || !c.attempt) return;
-  if (info.n_added > 0 && !c.connected) {
-    c.connected = true;
-    c.connect.Stop();
+  const std::string text = Wording(request, addresses_[target], limit);
+  bufferevent_write(c->stream.get(), text.data(), text.size());
+}
+
+// Whether the attempt's last byte has left: only then may it have run. Until the connection is up all of it
+// waits in the output.
+bool HttpTargets::Written(const Connection& c) const {
+  return evbuffer_get_length(bufferevent_get_output(c.stream.get())) == 0;
+}
+
+void HttpTargets::OnRead(Connection& c) {
+  // Nothing was asked: it would be taken for the answer to the next request.
+  if (!c.attempt) return Discard(c);
+  evbuffer* input = bufferevent_get_input(c.stream.get());
+  while (!c.answer.whole() && !c.answer.spoilt()) {
+    const std::size_t size = evbuffer_get_contiguous_space(input);
+    if (size == 0) return;
+    const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+    evbuffer_drain(input, c.answer.Feed({bytes, size}));
   }
-  if (info.n_deleted > 0 && left == 0) c.written = true;
+  // An answer to what has not left whole is not this request's, and one that cannot be read is nobody's: the
+  // request may have run, and nothing more that comes on the connection can be told apart.
+  if (c.answer.spoilt() || !Written(c)) return Break(c, Outcome::kSevered);
+  OnAnswer(c);
 }
 
-void HttpTargets::OnAnswer(Connection& c, evhttp_request* answer) {
-  if (!c.attempt) return;
-  const int code = answer ? evhttp_request_get_response_code(answer) : 0;
-  if (code == 0) return Break(c, Outcome::kSevered);
-  auto* headers = evhttp_request_get_input_headers(answer);
-  const Header header = [headers](const char* name) { return evhttp_find_header(headers, name); };
+void HttpTargets::OnAnswer(Connection& c) {
+  const Header header = [&c](const char* name) { return c.answer.Find(name); };
   core::Ended ended;
-  ended.outcome = OutcomeOf(code, header);
+  ended.outcome = OutcomeOf(c.answer.code(), header);
   ReadTold(config_.settings.report_fields, header, &ended);
   if (ended.outcome == Outcome::kCompleted) {
     auto payload = std::make_shared<HttpAnswer>();
-    evbuffer* body = evhttp_request_get_input_buffer(answer);
-    payload->body.resize(evbuffer_get_length(body));
-    evbuffer_remove(body, payload->body.data(), payload->body.size());
+    payload->body = std::move(c.answer.body());
     ended.payload = std::move(payload);
   }
+  const bool keeps = c.answer.keeps() && evbuffer_get_length(bufferevent_get_input(c.stream.get())) == 0;
   Report(c, std::move(ended));
-  if (c.closed) {
-    Discard(c);
-  } else {
-    KeepIdle(c);
-  }
+  // What is behind an answer belongs to no request of ours.
+  if (!keeps || !addresses_.contains(c.target)) return Discard(c);
+  idle_[c.target].push_back(&c);
+  c.idle.Start(static_cast<Time>(kIdlePart * static_cast<double>(config_.idle)));
 }
 
 // The attempt ends without an answer. What never left whole never ran, whatever ended it.
 void HttpTargets::Break(Connection& c, Outcome outcome) {
   if (!c.attempt) return;
   core::Ended ended;
-  ended.outcome = c.written || outcome == Outcome::kRecalled ? outcome : Outcome::kRefusedConn;
+  if (outcome != Outcome::kRecalled && !Written(c)) outcome = Outcome::kRefusedConn;
+  // The dial timer may come in the same turn of the loop in which the connection came up and all was written.
+  if (outcome == Outcome::kRefusedConn && Written(c)) outcome = Outcome::kSevered;
+  ended.outcome = outcome;
   Report(c, std::move(ended));
   Discard(c);
 }
@@ -216,11 +241,6 @@
   post_(core::Probed{{c.target, ended.outcome, ended.delay, std::move(ended.report)}});
 }
 
-void HttpTargets::KeepIdle(Connection& c) {
-  idle_[c.target].push_back(&c);
-  c.idle.Start(static_cast<Time>(kIdlePart * static_cast<double>(config_.idle)));
-}
-
 // Closes a connection, but not inside of a callback of its own.
 void HttpTargets::Discard(Connection& c) {
   const auto at = connections_.find(c.number);
@@ -228,7 +248,13 @@
   c.connect.Stop();
   c.limit.Stop();
   c.idle.Stop();
-  evhttp_connection_set_closecb(c.link.get(), nullptr, nullptr);
+  if (const auto idle = idle_.find(c.target); idle != idle_.end()) {
+    std::erase(idle->second, &c);
+    if (idle->second.empty()) idle_.erase(idle);
+  }
+  // Nothing that waits in it may leave any more, and nothing of it calls back.
+  bufferevent_disable(c.stream.get(), EV_READ | EV_WRITE);
+  bufferevent_setcb(c.stream.get(), nullptr, nullptr, nullptr, nullptr);
   discarded_.push_back(std::move(at->second));
   connections_.erase(at);
   sweep_.Start(0);
@@ -243,11 +269,10 @@
 void HttpTargets::Withdraw(const TargetId& target) {
   std::vector<Connection*> unsent;
   for (const auto& [key, connection] : attempts_) {
-    if (connection->target == target && !connection->written) unsent.push_back(connection);
+    if (connection->target == target && !Written(*connection)) unsent.push_back(connection);
   }
   for (Connection* connection : unsent) Break(*connection, Outcome::kRefusedConn);
-  const auto idle = std::exchange(idle_[target], {});
-  for (Connection* connection : idle) Discard(*connection);
+  CloseIdle(target);
 }
 
 }  // namespace walnutspur::net
--- a/src/net/http_targets.h
+++ b/src/net/http_targets.h
@@ -2,21 +2,22 @@
 #ifndef WALNUTSPUR_NET_HTTP_TARGETS_H_
 #define WALNUTSPUR_NET_HTTP_TARGETS_H_
 
+#include <event2/bufferevent.h>
+
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "core/port.h"
 #include "net/config.h"
+#include "net/http_reader.h"
 #include "net/loop.h"
 #include "net/messages.h"
 
-struct evbuffer;
-struct evbuffer_cb_info;
-
 namespace walnutspur::net {
 
 class HttpTargets : public core::Connector {
@@ -26,6 +27,10 @@
 
   // Where a target listens; it may move.
   void Learn(const TargetId& target, const std::string& address);
+  // Takes the address of a target that is gone out of memory.
+  void Forget(const TargetId& target);
+  // Forgets all but those that a complete list names.
+  void KeepOnly(const std::set<TargetId>& targets);
 
   void Start(const core::Attempt& attempt) override;
   void Stop(core::Serial serial, int trial) override;
@@ -33,6 +38,7 @@
   void Probe(const TargetId& target);
 
   std::size_t connections() const { return connections_.size(); }
+  std::size_t known() const { return addresses_.size() + idle_.size(); }
 
  private:
   using Key = std::pair<core::Serial, int>;  // an attempt; serial 0: a probe
@@ -44,22 +50,22 @@
     std::optional<Key> attempt;
     Time sent = 0;
     bool connected = false;  // it has come up
-    bool written = false;    // the attempt's last byte has left
-    bool closed = false;     // evhttp has closed it
+    HttpReader answer{HttpReader::Kind::kAnswer};
     Watcher connect, limit, idle;
-    std::unique_ptr<evhttp_connection, Freed<evhttp_connection_free>> link;
+    std::unique_ptr<bufferevent, Freed<bufferevent_free>> stream;
   };
 
   Connection* Open(const TargetId& target);
   Connection* TakeIdle(const TargetId& target);
   bool MakeRoom();
   void Launch(const Key& key, const TargetId& target, Time limit, const HttpRequest* request);
-  void OnOutput(Connection& connection, const evbuffer_cb_info& info, std::size_t left);
-  void OnAnswer(Connection& connection, evhttp_request* answer);
+  bool Written(const Connection& connection) const;
+  void OnRead(Connection& connection);
+  void OnAnswer(Connection& connection);
   void Break(Connection& connection, Outcome outcome);
   void Report(Connection& connection, core::Ended ended);
   void Discard(Connection& connection);
-  void KeepIdle(Connection& connection);
+  void CloseIdle(const TargetId& target);
 
   event_base* base_;
   const Config& config_;
@@ -68,7 +74,7 @@
   std::uint64_t next_ = 1;
   std::uint64_t probes_ = 0;
   std::map<TargetId, std::string> addresses_;
-  std::map<TargetId, std::vector<Connection*>> idle_;  // the one used last at the end
+  std::map<TargetId, std::vector<Connection*>> idle_;  // the one used last at the end; none is empty
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
   std::map<Key, Connection*> attempts_;
   std::vector<std::unique_ptr<Connection>> discarded_;  // freed outside of their own callbacks
--- a/src/net/initiator.cpp
+++ b/src/net/initiator.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -122,7 +123,16 @@
 
 void Initiator::OnList(walnutspur::Membership list, const TargetList& raw) {
   for (std::size_t i = 0; i < raw.entries.size(); ++i) {
-    if (!raw.addresses[i].empty()) targets_->Learn(raw.entries[i].target, raw.addresses[i]);
+    if (raw.entries[i].phase == walnutspur::Phase::kDead) {
+      targets_->Forget(raw.entries[i].target);
+    } else if (!raw.addresses[i].empty()) {
+      targets_->Learn(raw.entries[i].target, raw.addresses[i]);
+    }
+  }
+  if (list.mode == walnutspur::Mode::kFull) {
+    std::set<TargetId> named;
+    for (const auto& entry : raw.entries) named.insert(entry.target);
+    targets_->KeepOnly(named);
   }
   if (list.mode != walnutspur::Mode::kFailed) front_->set_ready();
   if (list.mode == walnutspur::Mode::kFull || list.mode == walnutspur::Mode::kCached) {
--- a/src/net/messages.cpp
+++ b/src/net/messages.cpp
@@ -12,7 +12,8 @@
 
 using nlohmann::json;
 
-constexpr double kLongest = 3600;  // s; a client that says it waits longer is not believed
+constexpr double kMostElsewhere = 1e6;  // units; no box serves more between two answers
+constexpr double kLongest = 3600;       // s; a client that says it waits longer is not believed
 
 bool IsHex16(std::string_view text) {
   return text.size() == 16 && std::all_of(text.begin(), text.end(), [](char c) {
@@ -103,14 +104,21 @@
     const auto percent = Number<double>(use);
     if (percent && *percent >= 0 && *percent < 1e9) ended->seen_use = static_cast<int>(*percent) + 1;
   }
-  if (const char* others = header("X-Served-Elsewhere")) ended->others_got = Positive(others).value_or(0);
+  if (const char* others = header("X-Served-Elsewhere")) {
+    const double units = Positive(others).value_or(0);
+    ended->others_got = units < kMostElsewhere ? units : 0;
+  }
   const char* load = header("X-Load");
   if (!load) return;
   const json report = json::parse(load, nullptr, /*allow_exceptions=*/false);
   if (!report.is_object()) return;
   for (const std::string& field : fields) {
     const auto value = report.find(field);
-    ended->report.push_back(value != report.end() && value->is_number() ? value->get<double>() : 0.0);
+    if (value != report.end() && !value->is_number()) {  // a report that cannot be read tells nothing
+      ended->report.clear();
+      return;
+    }
+    ended->report.push_back(value != report.end() ? value->get<double>() : 0.0);
   }
 }
 
--- /dev/null
+++ b/tests/net/garble_test.cpp
@@ -0,0 +1,126 @@
+// Boxes whose answers cannot be read, or bring more than is theirs.
+#include <doctest/doctest.h>
+
+#include "net/http_reader.h"
+#include "stage.h"
+
+namespace walnutspur::test {
+namespace {
+
+using core::Wire;
+using net::HttpReader;
+
+TEST_CASE("a spoilt answer may have run: a write fails and is never sent again, a read goes again") {
+  const char* kSpoilt[] = {
+      R"(\x00\x01\xff noise\r\n\r\n)",
+      R"(HTTP/1.1 two hundred\r\n\r\n)",
+      R"(HTTP/1.1 200 OK\r\nContent-Length: 3\r\nno colon\r\n\r\nabc)",
+      R"(HTTP/1.1 200 OK\r\nContent-Length: 3\nX: y\r\n\r\nabc)",
+      R"(HTTP/1.1 200 OK\r\n\r\nabc)",
+      R"(HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nabc)",
+      R"(HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n)",
+      R"(HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nabc)",
+      R"(HTTP/1.1 200 OK\r\nContent-Length: +3\r\n\r\nabc)",
+      R"(HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nabc)",
+      R"(HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999999\r\n\r\nabc)",
+      R"(HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\nabc)",
+      R"(HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff0\r\nabc)",
+      R"(HTTP/1.1 101 Switching\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n)",
+  };
+  for (const std::string answer : kSpoilt) {
+    CAPTURE(answer);
+    Stage stage(Wire::kHttp);
+    stage.Play("client c send write\n box a expect write\n box a send bytes \"" + answer + "\"\n" + R"(
+      client c expect failed
+      box a expect nothing 60
+      client c send read
+      box a expect read
+      box a send bytes ")" +
+               answer + "\"\n" + R"(
+      box a expect read
+      box a send ok
+      client c expect served
+      client c expect text stored)");
+  }
+}
+
+TEST_CASE("a head that never ends and a body cut short are no answers") {
+  Stage stage(Wire::kHttp);
+  stage.Play("client c send write\n box a expect write\n box a send bytes \"HTTP/1.1 200 OK\\r\\n" +
+             std::string(17'000, 'x') + "\"\n client c expect failed\n box a expect nothing 60");
+  stage.Play(R"(
+    client c send write
+    box a expect write
+    box a send bytes "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"
+    box a close
+    client c expect failed
+    box a expect nothing 60)");
+}
+
+TEST_CASE("what comes behind an answer is never the next one") {
+  const char* more = "";
+  const char* wait = "";
+  SUBCASE("a second copy with it") { more = R"(HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfalse)"; }
+  SUBCASE("noise with it") { more = "noise"; }
+  SUBCASE("a second copy later, while the connection is idle") {
+    wait =
+        "\n client c expect served\n box a send bytes \"HTTP/1.1 200 OK\\r\\nContent-Length: "
+        "5\\r\\n\\r\\nfalse\"";
+  }
+  Stage stage(Wire::kHttp);
+  stage.Play(
+      std::string("client c send write\n box a expect write\n box a send bytes \"HTTP/1.1 200 OK\\r\\n") +
+      "Content-Length: 4\\r\\n\\r\\nmine" + more + "\"" + wait);
+  if (!*wait) stage.Play("client c expect served");
+  stage.Play(R"(
+    client c expect text mine
+    client c send read
+    box a expect read
+    box a send ok
+    client c expect served
+    client c expect text stored)");
+  CHECK(stage.box_links("a") == 2);
+}
+
+TEST_CASE("good answers: 1xx in front, chunks, figures that cannot be read") {
+  const char* kGood[] = {
+      R"(HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood)",
+      R"(HTTP/1.1 102 Processing\r\nContent-Length: 9\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ngood)",
+      R"(HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\ngoo\r\n1\r\nd\r\n0\r\nTrailer: x\r\n\r\n)",
+      R"(HTTP/1.1 200 OK\r\nX-Load: {{{[[\r\nX-Volume-Use: 1e999\r\nX-Served-Elsewhere: nan\r\nContent-Length: 4\r\n\r\ngood)",
+      R"(HTTP/1.1 200 OK\r\nX-Load: [1]\r\nX-Volume-Use: -5\r\nX-Served-Elsewhere: 1e300\r\nContent-Length: 4\r\n\r\ngood)",
+  };
+  Stage stage(Wire::kHttp);
+  for (const std::string answer : kGood) {
+    CAPTURE(answer);
+    stage.Play("client c send read\n box a expect read\n box a send bytes \"" + answer + "\"\n" +
+               "client c expect served\n client c expect text good");
+  }
+  CHECK(stage.box_links("a") == 1);
+}
+
+TEST_CASE("a message is read the same in whatever pieces it comes, and keeps no more than the limits") {
+  const std::string text =
+      "PUT /x HTTP/1.1\r\nHost: s\r\nConnection: x, Close\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+  for (std::size_t step = 1; step < text.size(); ++step) {
+    HttpReader reader(HttpReader::Kind::kRequest);
+    for (std::size_t at = 0; at < text.size(); at += step) {
+      const std::string part = text.substr(at, step);
+      REQUIRE(reader.Feed(part) == part.size());
+    }
+    REQUIRE(reader.whole());
+    CHECK(reader.body() == "hello");
+    CHECK_FALSE(reader.keeps());
+  }
+  HttpReader next(HttpReader::Kind::kAnswer);
+  CHECK(next.Feed("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nabc") == 39);  // the rest is not its own
+  HttpReader huge(HttpReader::Kind::kAnswer);
+  huge.Feed("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n");
+  CHECK(huge.spoilt());
+  CHECK(huge.Feed("abc") == 0);
+  CHECK(huge.body().empty());
+}
+
+}  // namespace
+}  // namespace walnutspur::test
