Read the configuration anew on SIGHUP and watch the discovery that it names

Nothing in src/main.cpp or src/net/initiator.cpp handled SIGHUP, whose default ends the program.

Now: main blocks SIGHUP before all else and Initiator::Run unblocks it once the handler is there. The whole file is read and checked first; a bad one leaves the old in force with one line on standard error. A new discovery address is watched at once and from the whole list: the revision held is another service's. The same address again changes nothing. Requests, attempts and connections go on; with SIGTERM in between, too. A discovery address that is no number is now a bad configuration, since nothing would ever resolve it.

Tests: stage learns `discovery moves`, `signal` and `config`. Without hangup_.Start the test program ends by the signal; with Watch in place of Move the new service is asked by the old one's revision and the test fails.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 // walnutspur: one real initiator, as $BALANCER_CONFIG describes it.
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
@@ -7,10 +8,16 @@
 
 int main(int argc, char** argv) {
   try {
+    // Blocked until it can be handled: a SIGHUP that comes during the start must not end the program.
+    sigset_t hangup;
+    sigemptyset(&hangup);
+    sigaddset(&hangup, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &hangup, nullptr);
     const char* path = std::getenv("BALANCER_CONFIG");
     if (!path) throw std::runtime_error("BALANCER_CONFIG names no file");
     const auto options = walnutspur::net::ParseOptions({argv + 1, argv + argc});
     walnutspur::net::Initiator initiator(walnutspur::net::LoadConfig(path), options);
+    initiator.ReloadBy([path] { return walnutspur::net::LoadConfig(path); });
     initiator.Run();
     return 0;
   } catch (const std::exception& error) {
--- a/src/net/address.h
+++ b/src/net/address.h
@@ -12,6 +12,7 @@
 struct Address {
   std::string host;
   std::uint16_t port = 0;
+  bool operator==(const Address&) const = default;
 };
 Address ParseAddress(const std::string& text);  // throws std::runtime_error
 sockaddr_in ToSocket(const Address& address);   // likewise
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -31,6 +31,7 @@
   c.name = j.value("name", "initiator");
   c.listen = ParseAddress(j.at("listen").get<std::string>());
   c.discovery = ParseAddress(j.at("discovery").get<std::string>());
+  ToSocket(c.discovery);  // there is no DNS: a name would never be reached
   const std::string seed = j.value("seed", "0");
   const auto [at, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
   if (error != std::errc() || at != seed.data() + seed.size())
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -39,6 +39,11 @@
   if (evhttp_make_request(link_.get(), request, EVHTTP_REQ_GET, uri.c_str()) != 0) OnEnd();
 }
 
+void Discovery::Move() {
+  revision_ = 0;
+  Watch();
+}
+
 // The link is freed outside of its own callbacks.
 void Discovery::Close() {
   open_ = false;
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -21,6 +21,9 @@
 
   // Opens a watch from the revision held last, in place of any that is open.
   void Watch();
+  // The config names another address: watched at once, from the whole list. Revisions of another service say
+  // nothing of what this one has told.
+  void Move();
   void Adopt(const TargetList& list) { revision_ = list.revision; }
 
  private:
--- a/src/net/initiator.cpp
+++ b/src/net/initiator.cpp
@@ -64,6 +64,7 @@
   term_ = Watcher(base_.get(), SIGTERM, EV_SIGNAL | EV_PERSIST, [this] { Drain(); });
   // An event of its own: activating a signal's event by hand calls nothing.
   stop_ = Watcher(base_.get(), -1, EV_PERSIST, [this] { Drain(); });
+  hangup_ = Watcher(base_.get(), SIGHUP, EV_SIGNAL | EV_PERSIST, [this] { Reload(); });
   interrupt_ = Watcher(base_.get(), SIGINT, EV_SIGNAL | EV_PERSIST, [this] { Drain(); });
   leave_ = MakeTimer(base_.get(), [this] { Leave(); });
   last_ = MakeTimer(base_.get(), [this] { event_base_loopbreak(base_.get()); });
@@ -117,6 +118,13 @@
 void Initiator::Run() {
   term_.Start();
   interrupt_.Start();
+  if (read_config_) {
+    hangup_.Start();
+    sigset_t hangup;
+    sigemptyset(&hangup);
+    sigaddset(&hangup, SIGHUP);
+    pthread_sigmask(SIG_UNBLOCK, &hangup, nullptr);
+  }
   event_base_loop(base_.get(), EVLOOP_NO_EXIT_ON_EMPTY);
 }
 
@@ -187,6 +195,19 @@
   last_.Start(std::max(kLongestLeast, config_.longest_deadline) + kKilled);
 }
 
+// SIGHUP: the whole file is read and checked before anything of it holds, so a bad one changes nothing.
+// Requests and connections go on. Only discovery's address is taken over; the rest holds from start to end.
+void Initiator::Reload() {
+  try {
+    const Config next = read_config_();
+    if (next.discovery == config_.discovery) return;  // a second signal must not cost the watch
+    config_.discovery = next.discovery;
+    discovery_->Move();
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "walnutspur: the old configuration stays in force: %s\n", error.what());
+  }
+}
+
 void Initiator::Leave() {
   std::size_t left = 0;
   for (core::Front* front :
--- a/src/net/initiator.h
+++ b/src/net/initiator.h
@@ -2,9 +2,11 @@
 #ifndef WALNUTSPUR_NET_INITIATOR_H_
 #define WALNUTSPUR_NET_INITIATOR_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/owner.h"
@@ -40,6 +42,9 @@
   // Serves until it is told to stop and has answered what it took.
   void Run();
   void Stop();  // like SIGTERM; from any thread
+  // Reads the configuration anew on SIGHUP, by a function that throws on what is wrong; before Run. Without
+  // it the signal is not handled. SIGHUP may be blocked until then, so that none is lost: Run unblocks it.
+  void ReloadBy(std::function<Config()> read) { read_config_ = std::move(read); }
   void Halt();  // ends at once, whatever is unanswered; from any thread
 
   event_base* base() { return base_.get(); }
@@ -51,6 +56,7 @@
  private:
   void Drain();
   void Leave();
+  void Reload();
   void OnList(walnutspur::Membership list, const TargetList& raw);
 
   void Do(const core::Attempt& output) { connector(output.wire).Start(output); }
@@ -67,6 +73,7 @@
   core::Front& front(core::Wire wire);
 
   Config config_;
+  std::function<Config()> read_config_;
   BaseRef base_;
   Serials serials_;
   nbd::Config nbd_;
@@ -80,7 +87,7 @@
   std::uint64_t next_ring_ = 0;
   std::map<std::uint64_t, Watcher> rings_;
   Time stopped_ = 0;
-  Watcher outputs_, stop_, term_, interrupt_, leave_, last_;
+  Watcher outputs_, stop_, term_, interrupt_, hangup_, leave_, last_;
   std::unique_ptr<core::Owner> owner_;
 };
 
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -168,6 +168,76 @@
   CHECK(core::Now() - before < 5'500'000);
 }
 
+TEST_CASE(
+    "SIGHUP: the new discovery is watched at once, from the whole list; requests and connections go on") {
+  Stage stage(Wire::kHttp);
+  stage.Play(R"(
+    client c send read
+    box a expect read
+    discovery moves
+    signal HUP
+    signal HUP
+    discovery expect watch)");
+  CHECK(stage.watch_asked().find("since") == std::string::npos);
+  stage.Play(R"(
+    discovery send a=SERVING b=DRAINING
+    box a send ok
+    client c expect served
+    client c send read
+    box a expect read
+    box a send ok
+    client c expect served
+    client bob send read
+    client bob expect refused
+    box b expect nothing 100
+    signal HUP
+    wait 50
+    discovery send delta a=DRAINING
+    wait 30
+    client c send read
+    client c expect refused
+    signal TERM
+    signal HUP)");
+  CHECK(stage.box_links("a") == 1);
+  CHECK(stage.Ended(2'000));
+}
+
+TEST_CASE("SIGHUP with a bad file leaves the old one in force; the next good one holds") {
+  Stage stage(Wire::kHttp);
+  stage.Play(R"(
+    config bad
+    signal HUP
+    wait 50
+    discovery send delta b=DRAINING
+    wait 30
+    client bob send read
+    client bob expect refused
+    discovery moves
+    config good
+    signal HUP
+    discovery expect watch
+    discovery send a=SERVING b=SERVING
+    wait 30
+    client bob send read
+    box b expect read
+    box b send ok
+    client bob expect served)");
+}
+
+TEST_CASE("SIGHUP: a new discovery that fails is asked again") {
+  Stage stage(Wire::kHttp);
+  stage.Play(R"(
+    discovery moves
+    signal HUP
+    discovery expect watch
+    discovery close
+    discovery expect watch
+    discovery send a=SERVING b=DRAINING
+    wait 30
+    client bob send read
+    client bob expect refused)");
+}
+
 TEST_CASE("after SIGTERM what arrives is taken and answered, then the program ends") {
   Stage stage(Wire::kHttp);
   stage.Play(R"(
--- a/tests/net/stage.cpp
+++ b/tests/net/stage.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -184,6 +185,8 @@
   int port = 0;
   discovery_ = Socket::Listen(&port);
   config["discovery"] = "127.0.0.1:" + std::to_string(port);
+  config_ = config;
+  discovery_port_ = port;
   int cell = 0;
   for (const char* name : {"a", "b"}) {
     Box& box = boxes_[name];
@@ -205,6 +208,12 @@
     }
   }
   initiator_ = std::make_unique<net::Initiator>(net::ParseConfig(config), options);
+  initiator_->ReloadBy([this] {
+    if (bad_config_) throw std::runtime_error("a bad file");
+    json now = config_;
+    now["discovery"] = "127.0.0.1:" + std::to_string(discovery_port_);
+    return net::ParseConfig(now);
+  });
   http_port_ = initiator_->front().port();
   if (initiator_->nbd_front()) nbd_port_ = initiator_->nbd_front()->port();
   thread_ = std::thread([this] {
@@ -265,11 +274,21 @@
   } else if (w[0] == "discovery") {
     if (w[1] == "send") DiscoverySend(w);
     if (w[1] == "close") watch_.Close();
+    if (w[1] == "moves") {  // the old one takes no new connection and keeps the open one
+      int port = 0;
+      discovery_ = Socket::Listen(&port);
+      discovery_port_ = port;
+      old_watch_ = std::move(watch_);
+    }
     if (w[1] == "expect") {
       const std::string heard = DiscoveryHears(6'000);
       REQUIRE(heard.find("follow=1") != std::string::npos);
       if (w.size() > 3) CHECK(heard.find(w[3]) != std::string::npos);
     }
+  } else if (w[0] == "signal") {
+    kill(getpid(), w[1] == "HUP" ? SIGHUP : SIGTERM);
+  } else if (w[0] == "config") {
+    bad_config_ = w[1] == "bad";
   } else {
     FAIL("no such step");
   }
@@ -462,7 +481,7 @@
   Message request;
   if (discovery_.Readable(ms)) watch_ = discovery_.Accept();
   if (!ReadMessage(watch_, &request, static_cast<int>((until - core::Now()) / 1000))) return "nothing";
-  return request.start;
+  return watch_asked_ = request.start;
 }
 
 void Stage::DiscoverySend(const std::vector<std::string>& w) {
--- a/tests/net/stage.h
+++ b/tests/net/stage.h
@@ -4,6 +4,7 @@
 //   client c send read|write [text]      client c expect served|refused|failed|closed|status N|text T
 //   box a expect read|write|closed|nothing MS      box a send ok|error|...      client|box|discovery X close
 //   discovery send a=DRAINING ...        discovery expect watch [since=N]       wait MS
+//   discovery moves                      signal HUP|TERM                        config good|bad
 //
 // The same steps play over HTTP and over NBD; `bytes "..."` after send is sent as it stands.
 #ifndef WALNUTSPUR_TESTS_NET_STAGE_H_
@@ -71,6 +72,7 @@
   int http_port() const { return http_port_; }
   int nbd_port() const { return nbd_port_; }
   const Message& last() const { return last_; }
+  const std::string& watch_asked() const { return watch_asked_; }
   const Message& box_message(const std::string& name) const { return boxes_.at(name).message; }
 
  private:
@@ -107,13 +109,17 @@
   std::string DiscoveryHears(int ms);
 
   core::Wire wire_;
+  nlohmann::json config_;
+  std::atomic<int> discovery_port_ = 0;  // that a configuration read now names
+  std::atomic<bool> bad_config_ = false;
   std::map<std::string, Client> clients_;
   std::map<std::string, Box> boxes_;
-  Socket discovery_, watch_;
+  Socket discovery_, watch_, old_watch_;
   int revision_ = 41;
   int next_id_ = 1;
   double asked_ = 0, served_ = 0;
   Message last_;
+  std::string watch_asked_;
   std::string nbd_file_;
   std::vector<nbd::Export> exports_;
   int http_port_ = 0, nbd_port_ = 0;
