Forget targets, volumes and ids once nothing of them is left

A test of 400 targets, volumes and ids in 200 s left 1071 entries (src/decide.cpp: nodes_, volumes_, cells_, and arrivals_ and further_, which were pruned only where there is a ration of attempts; src/net/http_targets.cpp: addresses_ and idle_). Ruled out: requests_, keys_, live_, node.sent and the engine's rings, which go back to zero in the same test.

Now the control loop forgets nodes that are gone, hold no cell and have nothing out, and volumes and streams without work for 30 s (longer where a limit's store fills more slowly). Volumes get their number from a counter, since the size of the table may now name one twice.

--- a/include/walnutspur/scheduler.h
+++ b/include/walnutspur/scheduler.h
@@ -9,6 +9,7 @@
 #ifndef WALNUTSPUR_SCHEDULER_H_
 #define WALNUTSPUR_SCHEDULER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -202,6 +203,9 @@
   // targets that were never listed are passed over.
   std::vector<Action> Handle(const Event& event, Time now);
 
+  // Entries in all tables: what is over must leave none behind.
+  std::size_t remembered() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -111,6 +111,10 @@
   std::vector<Output> Handle(const Input& input, Time now);
 
   std::size_t open() const { return requests_.size(); }  // requests with something outstanding
+  // Entries in all tables, the module's too.
+  std::size_t remembered() const {
+    return scheduler_.remembered() + requests_.size() + names_.size() + live_.size() + pending_.size();
+  }
 
  private:
   struct Request {
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -67,6 +67,7 @@
 constexpr double kPlacedFades = 5e6;  // us; reads of new objects follow them for some seconds
 constexpr Time kFresh = 4'000'000;    // us; older reports of a volume's use say nothing of now
 constexpr int kLate = 1000;           // bands: what is likely late comes after all that is not
+constexpr Time kForget = 30'000'000;  // us after which a volume that asks for nothing is forgotten
 constexpr double kSecond = 1e6;       // us
 
 struct Node;
@@ -116,7 +117,7 @@
   TargetId target;
   int cell = 0, zone = 0;
   Time launched = 0;
-  bool live = false, takes_new = true;
+  bool live = false, gone = false, takes_new = true;
   std::vector<Attempt> out;
   Bound share, reserve;  // for work beyond and inside its volume's reserve
   double unit_time = kFirstUnitTime;
@@ -147,6 +148,7 @@
   double came = 0;  // units since the last interval
   double use = 0;   // fleet-wide use over the plan's rate
   Time use_at = -1;
+  Time last = 0;  // arrival
 };
 
 struct Stream {
@@ -154,6 +156,7 @@
   int cell = 0;
   std::vector<std::deque<Ref>> queues;  // a queue for each class
   double finish = 0;                    // virtual finish tag
+  Time last = 0;                        // arrival
   double limit = 0, tokens = 0;         // 0: not throttled
   Time filled = 0;
   double rate = 0, came = 0;
@@ -185,6 +188,8 @@
     if (s_.plans.empty()) s_.plans.emplace_back();
   }
 
+  std::size_t Remembered() const;
+
   std::vector<Action> Handle(const Event& event, Time now) {
     now_ = now;
     actions_.clear();
@@ -218,7 +223,7 @@
       return;
     }
     if (m.mode == Mode::kFull || m.mode == Mode::kCached) {
-      for (auto& [target, node] : nodes_) node.live = false;
+      for (auto& [target, node] : nodes_) node.live = false, node.gone = true;
     }
     for (const ListEntry& e : m.entries) Learn(e);
     for (auto& [target, node] : nodes_) {
@@ -252,11 +257,12 @@
     node.launched = e.launched;
     node.takes_new = e.takes_new;
     node.live = e.phase == Phase::kLive;
+    node.gone = e.phase == Phase::kDead;
     if (node.live) holders_[e.cell] = &node;
   }
 
   void On(const Arrival& a) {
-    arrivals_.push_back(now_);
+    if (s_.rules.budget_span) arrivals_.push_back(now_);
     auto r = std::make_shared<Request>();
     r->id = a.id;
     r->cls = std::clamp(a.request_class, 0, int(s_.classes.size()) - 1);
@@ -273,6 +279,7 @@
     if (c.serial_by_key && !r->key.empty()) keys_[r->key].chain.push_back(r);
     Volume& volume = VolumeOf(a);
     volume.came += r->units;
+    volume.last = now_;
     Enqueue(r, &volume, r->free ? Place(*r) : a.cell);
     if (Node* node = Holder(r->stream->cell)) Pump(*node);
     // Rule: no request lost. No timer would see one held in time that has next to no time left.
@@ -390,7 +397,7 @@
     v.plan = &s_.plans[std::clamp(a.plan, 0, int(s_.plans.size()) - 1)];
     v.mounts = std::max(1, a.mounts);
     if (fresh) {
-      v.number = int(volumes_.size());
+      v.number = ++last_volume_;
       v.filled = now_;
       v.reserve = ReserveCap(v);
       // Rule: limits. An earlier life of this instance may have spent the store, and nothing tells; so it
@@ -429,6 +436,7 @@
       st.queues.resize(s_.classes.size());
     }
     if (r->attempts == 0) st.came += r->units;
+    st.last = now_;
     r->stream = &st;
     const Node* node = Holder(cell);
     r->tag_floor = node ? node->vtime : 0;
@@ -565,7 +573,7 @@
     if (st.limit > 0) st.tokens -= r->units;
     if (!r->drawn && v.plan->limit > 0) v.store -= r->units;
     r->drawn = true;
-    if (r->attempts > 0) further_.push_back(now_);
+    if (r->attempts > 0 && s_.rules.budget_span) further_.push_back(now_);
     ++r->attempts;
     r->out = &node;
     r->sent = now_;
@@ -777,6 +785,35 @@
       it->second.Settle();
       it = it->second.chain.empty() && it->second.rest_until <= now_ ? keys_.erase(it) : std::next(it);
     }
+    Prune();
+  }
+
+  // Forgets nodes that are gone and have been replaced, and volumes that have asked for nothing for so long
+  // that what is remembered of them says no more than a fresh start. Guards against tables that grow with
+  // each id ever seen.
+  void Prune() {
+    std::set<const Node*> holding;
+    std::set<const Stream*> used;
+    std::set<const Volume*> asking;
+    for (const auto& [cell, node] : holders_) holding.insert(node);
+    for (const auto& [id, r] : requests_) used.insert(r->stream);
+    for (const auto& [target, node] : nodes_) {
+      for (const Attempt& a : node.out) used.insert(a.request->stream);
+    }
+    std::erase_if(nodes_, [&](const auto& item) {
+      return item.second.gone && item.second.out.empty() && !holding.contains(&item.second);
+    });
+    for (auto& [cell, streams] : cells_) {
+      std::erase_if(streams, [&](const auto& item) {
+        return !used.contains(&item.second) && now_ - item.second.last > kForget;
+      });
+      for (const auto& [number, st] : streams) asking.insert(st.volume);
+    }
+    std::erase_if(volumes_, [&](const auto& item) {  // a limit's store is full again by then
+      const Plan& p = *item.second.plan;
+      const Time full = p.limit > 0 ? Time(p.burst / p.limit * kSecond) : 0;
+      return !asking.contains(&item.second) && now_ - item.second.last > std::max(kForget, full);
+    });
   }
 
   void Steer(Streams& streams, double span) {
@@ -919,14 +956,24 @@
   std::unordered_map<RequestId, Ref> requests_;
   std::map<std::string, Key> keys_;
   std::deque<Time> arrivals_, further_;
+  int last_volume_ = 0;
 };
 
+std::size_t Scheduler::Impl::Remembered() const {
+  std::size_t count = nodes_.size() + volumes_.size() + requests_.size() + keys_.size() + arrivals_.size();
+  for (const auto& [cell, streams] : cells_) count += streams.size();
+  for (const auto& [target, node] : nodes_) count += node.out.size() + node.sent.size();
+  return count + further_.size();
+}
+
 Scheduler::Scheduler(const Settings& settings, std::uint64_t seed)
     : impl_(std::make_unique<Impl>(settings, seed)) {}
 Scheduler::~Scheduler() = default;
 Scheduler::Scheduler(Scheduler&&) noexcept = default;
 Scheduler& Scheduler::operator=(Scheduler&&) noexcept = default;
 
+std::size_t Scheduler::remembered() const { return impl_->Remembered(); }
+
 std::vector<Action> Scheduler::Handle(const Event& event, Time now) { return impl_->Handle(event, now); }
 
 }  // namespace walnutspur
--- a/tests/net/core_test.cpp
+++ b/tests/net/core_test.cpp
@@ -60,6 +60,41 @@
   std::vector<core::Output> outputs;
 };
 
+TEST_CASE("what is keyed by a target, volume or client's id is forgotten with it") {
+  Play play(Effect::kSafe);
+  std::size_t early = 0;
+  for (int i = 0; i < 400; ++i) {  // half a second each; every target serves three of them
+    ListEntry old, fresh;
+    old.target = "t" + std::to_string(i / 3 - 1);
+    old.phase = Phase::kDead;
+    fresh.target = "t" + std::to_string(i / 3);
+    play.Do(core::Listed{{i % 2 ? Mode::kFull : Mode::kDelta, {old, fresh}}});
+    core::Arrived arrived;
+    arrived.serial = static_cast<core::Serial>(i + 1);
+    arrived.name = "id" + std::to_string(i);
+    arrived.what.volume = "v" + std::to_string(i);
+    arrived.what.cell = 0;
+    arrived.deadline = play.now + 600 * kMs;
+    play.Do(arrived);
+    if (i % 4 == 0) play.Do(core::Departed{arrived.serial});
+    play.now += 100 * kMs;
+    play.End(0, i % 4 == 0 ? Outcome::kRecalled : Outcome::kCompleted, arrived.serial);
+    for (int turn = 0; turn < 20; ++turn) {
+      play.now += 20 * kMs;
+      play.Do(core::Rang{0});
+    }
+    play.outputs.clear();
+    if (i == 150) early = play.engine.remembered();
+  }
+  CHECK(play.engine.open() == 0);
+  CHECK(play.engine.remembered() <= early + 4);
+  for (int turn = 0; turn < 2'000; ++turn) {
+    play.now += 20 * kMs;
+    play.Do(core::Rang{0});
+  }
+  CHECK(play.engine.remembered() < 8);  // the target that is left, and no volume
+}
+
 TEST_CASE("an id stays taken while an attempt of its request is out, and not any longer") {
   Play play(Effect::kUnsafe);
   const auto arrive = [&](core::Serial serial) {
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -359,6 +359,21 @@
   CHECK(heard[1].result.report == std::vector<double>{4});
 }
 
+TEST_CASE("targets that are gone leave no address behind") {
+  auto json = BasicConfig();
+  json["discovery"] = "127.0.0.1:1";
+  const net::Config config = net::ParseConfig(json);
+  const net::BaseRef base(event_base_new());
+  net::HttpTargets targets(base.get(), config, [](core::Input) {});
+  for (int i = 0; i < 1'000; ++i) {
+    targets.Learn("t" + std::to_string(i), "127.0.0.1:1");
+    targets.Withdraw("t" + std::to_string(i));
+    if (i % 2) targets.Forget("t" + std::to_string(i));
+  }
+  targets.KeepOnly({"t998"});
+  CHECK(targets.known() == 1);
+}
+
 TEST_CASE("a list entry: an unknown phase wants nothing new, times are microseconds") {
   const net::Config config = net::ParseConfig([] {
     auto json = BasicConfig();
