NBD: end commands that stop halfway, make room in floods, close on surplus replies

Seen by reading beside the HTTP front, then by tests on the code before: a client that stops inside of a command was waited for without a timer (src/nbd/front.cpp, OnRead); with all places taken by silent clients the listener only rested until handshakes timed out (5 s each); bytes of a box behind a reply, too short for a reply of their own, stayed in the session until the next command (src/nbd/boxes.cpp). Ruled out: spoilt and oversized chunks, which end the connection at their head already (the new shared scenarios pass without a change).

Now a command has 2.5 s from its first byte, unless it is us who do not read; a handshake 2.5 s at most; a flood pushes out the oldest client in its handshake, then one that has asked nothing; surplus bytes end a box's connection. Four new scenarios play over both wires with the same outcomes: noise, 3 GB claimed, surplus behind an answer and while idle.

--- a/src/nbd/boxes.cpp
+++ b/src/nbd/boxes.cpp
@@ -137,7 +137,7 @@
     bufferevent_write(c.stream.get(), out.data(), out.size());
   }
   for (const Reply& reply : replies) OnReply(c, reply);
-  if (c.session.ended()) return Break(c);
+  if (c.session.ended() || c.session.surplus()) return Break(c);
   if (!was_ready && c.session.ready()) {
     c.connect.Stop();
     for (const Key& key : std::exchange(c.waiting, {})) Send(c, key);
--- a/src/nbd/codec.h
+++ b/src/nbd/codec.h
@@ -97,6 +97,10 @@
 
   const Export* chosen() const { return chosen_; }  // set once transmission has begun
   bool ended() const { return state_ == State::kEnded; }
+  // The client is inside of a command.
+  bool unfinished() const {
+    return state_ == State::kData || state_ == State::kSkip || (state_ == State::kHeader && in_.size() > 0);
+  }
   const std::string& why() const { return why_; }  // the connection ended, if not by the client's wish
 
   // Replies in the form that was negotiated.
@@ -140,6 +144,8 @@
   bool ended() const { return state_ == State::kEnded; }
   const std::string& why() const { return why_; }
   std::size_t in_flight() const { return open_.size(); }
+  // The server has begun to say what nobody asked for.
+  bool surplus() const { return ready() && open_.empty() && in_.size() > 0; }
   std::uint64_t size() const { return size_; }
   std::uint16_t flags() const { return flags_; }
 
--- a/src/nbd/config.cpp
+++ b/src/nbd/config.cpp
@@ -43,7 +43,7 @@
   const toml::table root = toml::parse(text);
   Config c;
   c.listen = Need<std::string>(root, "listen");
-  c.handshake = static_cast<Time>(root["handshake_s"].value_or(5.0) * 1e6);
+  c.handshake = static_cast<Time>(std::clamp(root["handshake_s"].value_or(2.5), 0.01, 2.5) * 1e6);
   c.idle = static_cast<Time>(root["idle_s"].value_or(30.0) * 1e6);
   c.dial = static_cast<Time>(root["dial_s"].value_or(0.25) * 1e6);
   c.unit_bytes = root["unit_bytes"].value_or(4096.0);
--- a/src/nbd/config.h
+++ b/src/nbd/config.h
@@ -27,7 +27,7 @@
 
 struct Config {
   std::string listen;
-  Time handshake = 5'000'000;
+  Time handshake = 2'500'000;
   Time idle = 30'000'000;
   Time dial = 250'000;
   double unit_bytes = 4096;
--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -19,7 +19,10 @@
 
 constexpr std::size_t kMostInFlight = 32;       // commands of one client; then it is not read
 constexpr std::size_t kMostUnread = 256 << 10;  // bytes of answers that a client leaves unread; likewise
-constexpr Time kAcceptAgain = 50'000;           // us
+constexpr Time kAcceptAgain = 20'000;           // us
+constexpr Time kWhole = 2'500'000;              // us in which a command must be whole
+constexpr Time kSettle = 30'000;                // us that a new connection has to say something
+constexpr Time kSilent = 250'000;               // us that one has to ask something once it could
 constexpr Time kDeadlineGuard = 5'000;          // us, like the HTTP front's
 
 std::string HoldOff(Time time) { return std::to_string(time / 1000) + " ms"; }
@@ -50,7 +53,7 @@
       next_serial_(std::move(next_serial)),
       post_(std::move(post)),
       resume_(net::MakeTimer(base, [this] {
-        if (clients_.size() >= most_) return Pause();
+        if (clients_.size() >= most_ && !MakeRoom()) return Pause();
         evconnlistener_enable(listener_.get());
       })) {
   sockaddr_in address = net::ToSocket(net::ParseAddress(config.listen));
@@ -81,6 +84,7 @@
   auto client = std::make_unique<Client>(config_.exports);
   client->owner = this;
   client->number = next_client_++;
+  client->since = core::Now();
   client->stream.reset(bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE));
   if (!client->stream) {
     close(fd);
@@ -93,6 +97,8 @@
   // A handshake that stalls, at whatever byte, ends with this timer and leaves nothing behind.
   c->handshake = net::MakeTimer(base_, [c] { c->owner->End(*c); });
   c->handshake.Start(config_.handshake);
+  // So does a command: a client that stops inside of one would be waited for as long as it likes.
+  c->unfinished = net::MakeTimer(base_, [c] { c->owner->End(*c); });
   bufferevent_setcb(
       c->stream.get(),
       [](bufferevent*, void* arg) {
@@ -113,7 +119,22 @@
   if (on_accept) on_accept(c->stream.get());
   bufferevent_enable(c->stream.get(), EV_READ | EV_WRITE);
   Write(*c, Greeting());
-  if (clients_.size() >= most_) Pause();
+  if (clients_.size() >= most_ && !MakeRoom()) Pause();
+}
+
+// Guards usual clients against floods: the client goes that has been in its handshake the longest, or else
+// has asked nothing since. One that has asked is not ended while others may wait: a device is mounted on it.
+bool Front::MakeRoom() {
+  const Time now = core::Now();
+  Client* best = nullptr;
+  for (const auto& [number, c] : clients_) {
+    if (c->asked || now - c->since < (c->session.chosen() ? kSilent : kSettle)) continue;
+    const bool better = !best || (!c->session.chosen() && best->session.chosen()) ||
+                        (!c->session.chosen() == !best->session.chosen() && c->since < best->since);
+    if (better) best = c.get();
+  }
+  if (best) End(*best);
+  return best != nullptr;
 }
 
 void Front::Write(Client& client, const std::string& bytes) {
@@ -127,6 +148,8 @@
     if (client.in_flight.size() >= kMostInFlight ||
         evbuffer_get_length(bufferevent_get_output(client.stream.get())) > kMostUnread) {
       bufferevent_disable(client.stream.get(), EV_READ);
+      client.unfinished.Stop();  // the wait is ours
+      client.waiting = false;
       return;
     }
     char bytes[4096];
@@ -138,6 +161,10 @@
     Write(client, out);
     if (client.session.chosen()) client.handshake.Stop();
     for (Request& request : requests) Take(client, std::move(request));
+    const bool waiting = client.session.unfinished();
+    if (waiting && (!client.waiting || !requests.empty())) client.unfinished.Start(kWhole);
+    if (!waiting) client.unfinished.Stop();
+    client.waiting = waiting;
   }
   EndIfIdle(client);
 }
@@ -146,6 +173,7 @@
   const Export& chosen = *client.session.chosen();
   const Volume& volume = config_.volumes[&chosen - config_.exports.data()];
   const std::uint64_t cookie = request.cookie;
+  client.asked = true;
   const auto refuse = [&](Error error, const char* why) {
     std::string out;
     client.session.Reply(cookie, error, why, &out);
--- a/src/nbd/front.h
+++ b/src/nbd/front.h
@@ -44,7 +44,11 @@
     std::uint64_t number = 0;
     ServerSession session;
     std::map<std::uint64_t, core::Serial> in_flight;  // by the client's cookie
+    bool asked = false;                               // it has sent a command
+    Time since = 0;                                   // when it connected
     net::Watcher handshake;
+    bool waiting = false;     // for the rest of a command
+    net::Watcher unfinished;  // a command that does not become whole
     StreamRef stream;
   };
   struct Held {
@@ -55,6 +59,7 @@
 
   void OnAccept(evutil_socket_t fd);
   void Pause();
+  bool MakeRoom();
   void OnRead(Client& client);
   void Take(Client& client, Request request);
   void Write(Client& client, const std::string& bytes);
--- a/tests/net/nbd_test.cpp
+++ b/tests/net/nbd_test.cpp
@@ -401,6 +401,59 @@
   stage.Play("box a expect nothing 50");
 }
 
+// A client that has chosen its export, by hand.
+Socket Mounted(const Stage& stage) {
+  Socket socket = Socket::Connect(stage.nbd_port());
+  socket.Send(nbd::ClientFlags() + Go("a"));
+  while (socket.bytes.find(kReplyMagic + "\0\0\0\x07\0\0\0\x01"s) == std::string::npos)
+    REQUIRE(socket.Fill(2'000));
+  socket.bytes.clear();
+  return socket;
+}
+
+TEST_CASE("a client that stops inside of a command is ended in time, whatever trickles in") {
+  Stage stage(Wire::kNbd);
+  std::string command;
+  nbd::Request request;
+  request.type = nbd::kWrite;
+  request.length = 4096;
+  nbd::PutRequest(request, &command);
+  SUBCASE("inside its head") { command.resize(9); }
+  SUBCASE("inside its data") {}
+  SUBCASE("inside data that is too long anyway") { command.replace(24, 4, "\x7f\xff\xff\xff"); }
+  Socket socket = Mounted(stage);
+  const Time before = core::Now();
+  socket.Send(command);
+  while (!socket.Readable(100) && core::Now() - before < 4'000'000) socket.Send("x");
+  CHECK_FALSE(socket.Fill(0));
+  CHECK(core::Now() - before < 3'000'000);
+  stage.Play("box a expect nothing 1");
+}
+
+TEST_CASE("silent NBD connections leave room for a usual client; one that has asked is not ended for them") {
+  auto config = BasicConfig();
+  config["limits"]["sockets"] = 100;  // six clients
+  Stage stage(Wire::kNbd, config);
+  stage.Play("client c send read\n box a expect read\n box a send ok\n client c expect served");
+  std::vector<Socket> silent;
+  for (int i = 0; i < 3; ++i) silent.push_back(Mounted(stage));
+  for (int i = 0; i < 40; ++i) silent.push_back(Socket::Connect(stage.nbd_port()));
+  const Time before = core::Now();
+  stage.Play(R"(
+    client d send read
+    box a expect read
+    box a send ok
+    client d expect served)");
+  CHECK(core::Now() - before < 2'000'000);
+  stage.Play(R"(
+    client c send read
+    box a expect read
+    box a send ok
+    client c expect served)");
+  stage.Halt();
+  CHECK(stage.initiator().nbd_front()->connections() <= 6);
+}
+
 TEST_CASE("the file of the front that the repository ships is read; wrong ones give one line") {
   Settings settings;
   settings.largest_units = 6;
--- a/tests/net/scenarios_test.cpp
+++ b/tests/net/scenarios_test.cpp
@@ -132,6 +132,45 @@
       client c expect refused
       box a expect nothing 300)",
      0},
+    {"a write whose answer cannot be read may have run and is never sent again", R"(
+      client c send write
+      box a expect write
+      box a send noise
+      client c expect failed
+      box a expect closed
+      box a expect nothing 150)",
+     0},
+    {"a read whose answer claims 3 GB is sent again at once, on a new connection", R"(
+      client c send read
+      box a expect read
+      box a send huge
+      box a expect read
+      box a send ok
+      client c expect served)",
+     1},
+    {"what comes behind an answer ends the connection, not the next request", R"(
+      client c send write
+      box a expect write
+      box a send ok-and-more
+      client c expect served
+      box a expect closed
+      client c send write
+      box a expect write
+      box a send ok
+      client c expect served)",
+     1},
+    {"what a box says unasked ends the connection, not the next request", R"(
+      client c send write
+      box a expect write
+      box a send ok
+      client c expect served
+      box a send noise
+      box a expect closed
+      client c send write
+      box a expect write
+      box a send ok
+      client c expect served)",
+     1},
     {"one slow box holds up no other", R"(
       client c send read
       box a expect read
--- a/tests/net/stage.cpp
+++ b/tests/net/stage.cpp
@@ -427,14 +427,20 @@
     return;
   }
   if (wire_ == core::Wire::kHttp) {
-    const std::string body = what == "ok" ? "stored" : "";
-    const std::string head = what == "ok"              ? "200 OK"
+    if (what == "noise") {
+      REQUIRE(socket.Send(std::string("\0noise\r\n\r\n", 10)));
+      return;
+    }
+    const std::string body = what.starts_with("ok") && what != "ok-and-closes" ? "stored" : "";
+    const std::string size = what == "huge" ? "3000000000" : std::to_string(body.size());
+    const std::string head = what == "ok" || what == "ok-and-more" || what == "huge" ? "200 OK"
                              : what == "busy"          ? "503 Busy\r\nX-Not-Run: 1"
                              : what == "busy-may-have" ? "503 Busy"
                              : what == "ok-and-closes" ? "200 OK\r\nConnection: close"
                                                        : "500 Error";
-    REQUIRE(socket.Send("HTTP/1.1 " + head + "\r\nContent-Length: " + std::to_string(body.size()) +
-                        "\r\nX-Load: {\"queue\":2}\r\nX-Volume-Use: 40\r\n\r\n" + body));
+    REQUIRE(socket.Send("HTTP/1.1 " + head + "\r\nContent-Length: " + size +
+                        "\r\nX-Load: {\"queue\":2}\r\nX-Volume-Use: 40\r\n\r\n" + body +
+                        (what == "ok-and-more" ? "more" : "")));
     return;
   }
   const std::uint64_t cookie = box.request.cookie;
@@ -448,7 +454,12 @@
   nbd::Put<std::uint16_t>(0, &error);
   nbd::Put<std::uint64_t>(kBytes / 2, &hole);
   nbd::Put<std::uint32_t>(kBytes / 2, &hole);
-  if (what == "ok" && box.request.type == nbd::kRead) {
+  if (what == "noise") {
+    out = "noise, and no reply of any kind";
+  } else if (what == "huge") {  // only the head of the chunk
+    nbd::PutChunk(true, nbd::kOffsetData, cookie, "", &out);
+    out.replace(16, 4, "\xc0\x01\x02\x03");
+  } else if (what.starts_with("ok") && box.request.type == nbd::kRead) {
     nbd::PutChunk(true, nbd::kOffsetData, cookie, data(0, kBytes), &out);
   } else if (what == "split") {  // the second half first, then a hole before it
     nbd::PutChunk(false, nbd::kOffsetData, cookie, data(0, kBytes / 2), &out);
@@ -466,11 +477,12 @@
     nbd::PutChunk(true, nbd::kNone, cookie + 1000, "", &out);
   } else {
     box.last->session->Reply(cookie,
-                             what == "ok"     ? nbd::kOk
-                             : what == "busy" ? nbd::kShutdown
-                                              : nbd::kIo,
+                             what.starts_with("ok") ? nbd::kOk
+                             : what == "busy"       ? nbd::kShutdown
+                                                    : nbd::kIo,
                              "", &out);
   }
+  if (what == "ok-and-more") out += "more";
   REQUIRE(socket.Send(out));
 }
 
