Pass on answers of up to 1 MiB, within an eighth of the memory

Ruled out: refused connections (4), silent ones (some 300, ended by their time limit), surplus bytes (none).

Now an answer may have 1 MiB; what goes beyond 64 KiB is bounded by an eighth of `memory_mb` over all targets, judged by what heads claim, and by a quarter of it over all clients that have not read theirs (then the answer is a 500).

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -36,7 +36,9 @@
   const auto [at, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
   if (error != std::errc() || at != seed.data() + seed.size())
     throw std::runtime_error("'seed' is not a hexadecimal number");
-  c.sockets = j.value("limits", json::object()).value("sockets", c.sockets);
+  const json own = j.value("limits", json::object());
+  c.sockets = own.value("sockets", c.sockets);
+  c.memory_mb = own.value("memory_mb", c.memory_mb);
   const json& settings = j.at("settings");
   c.settings = walnutspur::wire::ParseSettings(settings);
   if (c.settings.classes.empty()) throw std::runtime_error("'settings' has no classes");
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -24,6 +24,7 @@
   Address listen, discovery;
   std::uint64_t seed = 0;
   int sockets = 1024;
+  int memory_mb = 192;
   walnutspur::Settings settings;
   Names names;
   int shards = 0;            // 0: not told
--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -29,6 +29,8 @@
 constexpr Time kIdleLeast = 250'000;    // us that one which asks again and again is kept while idle
 constexpr double kClientPart = 0.45;    // of the descriptors: usual clients use a third at most
 constexpr int kBacklog = 1024;
+constexpr std::size_t kUsualBody = 64 << 10;     // bytes; larger answers are served while there is memory
+constexpr std::size_t kUnreadPart = 4;           // of the memory one part is for answers that are not read
 constexpr std::size_t kMostAhead = 16 << 10;     // bytes read ahead of the request that waits
 constexpr std::size_t kMostDropped = 256 << 10;  // bytes read behind the last answer
 
@@ -304,9 +306,15 @@
   client.serial = 0;
   held_.erase(at);
   switch (answer.verdict) {
-    case core::Verdict::kServed:
-      Reply(client, 200, static_cast<const HttpAnswer&>(*answer.payload).body);
+    case core::Verdict::kServed: {
+      const std::string& body = static_cast<const HttpAnswer&>(*answer.payload).body;
+      if (Fits(body.size())) {
+        Reply(client, 200, body);
+      } else {
+        Reply(client, 500, "no room for the answer\n");
+      }
       break;
+    }
     case core::Verdict::kRefused:
       Reply(client, 503, "refused\n", "Retry-After: " + Seconds(answer.hold_off) + "\r\n");
       break;
@@ -323,6 +331,14 @@
   OnRead(client);  // what was sent ahead
 }
 
+// Guards the memory: large answers wait for as long as clients are slow to read theirs.
+bool HttpFront::Fits(std::size_t size) const {
+  if (size <= kUsualBody) return true;
+  for (const auto& [number, c] : clients_)
+    size += evbuffer_get_length(bufferevent_get_output(c->stream.get()));
+  return size <= (static_cast<std::size_t>(config_.memory_mb) << 20) / kUnreadPart;
+}
+
 void HttpFront::End(Client& client) {
   const auto at = clients_.find(client.number);
   if (at == clients_.end()) return;
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -73,6 +73,7 @@
   void OnRequest(Client& client);
   void TurnAway(Client& client, int status, const std::string& why);
   void Reply(Client& client, int status, const std::string& body, const std::string& headers = "");
+  bool Fits(std::size_t size) const;
   void End(Client& client);
   bool Idle(const Client& client) const;
 
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -6,7 +6,6 @@
 namespace walnutspur::net {
 namespace {
 
-constexpr std::size_t kMostBody = 64 * 1024;   // the protocol's
 constexpr std::size_t kMostLines = 16 * 1024;  // of head, chunk sizes and trailers together
 constexpr std::size_t kMostDigits = 18;        // fits 64 bits, and is beyond any body that is taken
 
@@ -168,7 +167,7 @@
     const std::string_view digits = Find("Content-Length");
     const bool plain = std::all_of(digits.begin(), digits.end(), [](char c) { return c >= '0' && c <= '9'; });
     if (digits.empty() || !plain) return Spoil(400, "Content-Length is not a number");
-    if (!ReadNumber(digits, 10, &left_) || left_ > kMostBody) return Spoil(413, "the body is too long");
+    if (!ReadNumber(digits, 10, &left_) || left_ > most_) return Spoil(413, "the body is too long");
     state_ = left_ > 0 ? State::kBody : State::kWhole;
   } else if (kind_ == Kind::kAnswer && code_ != 204 && code_ != 304) {
     return Spoil(502, "no length");  // it would end with the connection, and nothing told that it is whole
@@ -181,12 +180,13 @@
 
 void HttpReader::OnSize(std::string_view line) {
   if (!ReadNumber(Trim(line.substr(0, line.find(';'))), 16, &left_)) return Spoil(400, "no size of a chunk");
-  if (left_ > kMostBody - body_.size()) return Spoil(413, "the body is too long");
+  if (left_ > most_ - body_.size()) return Spoil(413, "the body is too long");
   state_ = left_ > 0 ? State::kData : State::kTrailer;
 }
 
 void HttpReader::Spoil(int status, std::string why) {
   state_ = State::kSpoilt;
+  left_ = 0;
   status_ = status;
   why_ = std::move(why);
   keeps_ = false;
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -18,7 +18,8 @@
 class HttpReader {
  public:
   enum class Kind { kRequest, kAnswer };
-  explicit HttpReader(Kind kind) : kind_(kind) {}
+  // `most` bounds the body: 64 KiB, as the protocol has it for requests; answers of targets go beyond it.
+  explicit HttpReader(Kind kind, std::size_t most = 64 << 10) : kind_(kind), most_(most) {}
 
   // Takes bytes up to the end of the message at most; returns how many it took. The rest is not its own.
   std::size_t Feed(std::string_view bytes);
@@ -37,6 +38,9 @@
   const char* Find(std::string_view name) const;
   std::size_t Count(std::string_view name) const;
   std::string& body() { return body_; }
+  std::size_t claimed() const {
+    return body_.size() + static_cast<std::size_t>(left_);
+  }                                              // of the body, so far
   bool keeps() const { return keeps_; }          // the sender goes on with the connection after this
   bool continues() const { return continues_; }  // a request whose body waits for a 100
 
@@ -51,6 +55,7 @@
   void Spoil(int status, std::string why);
 
   Kind kind_;
+  std::size_t most_;
   State state_ = State::kStart;
   std::size_t taken_ = 0;  // bytes of lines, which are bounded together
   std::string line_;
--- a/src/net/http_targets.cpp
+++ b/src/net/http_targets.cpp
@@ -11,9 +11,12 @@
 namespace walnutspur::net {
 namespace {
 
-constexpr double kTargetPart = 0.35;  // of the descriptors
-constexpr double kIdlePart = 0.8;     // of the time after which targets close idle connections
-constexpr Time kProbeWait = 250'000;  // us
+constexpr double kTargetPart = 0.35;          // of the descriptors
+constexpr double kIdlePart = 0.8;             // of the time after which targets close idle connections
+constexpr Time kProbeWait = 250'000;          // us
+constexpr std::size_t kMostAnswer = 1 << 20;  // bytes of one answer's body
+constexpr std::size_t kUsual = 64 << 10;      // bytes of a body that the protocol names
+constexpr std::size_t kMemoryPart = 8;  // of the memory one part is for bodies beyond that, all together
 
 std::string Wording(const HttpRequest* request, const std::string& host, Time limit) {
   if (!request) return "GET /-/healthy HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
@@ -30,6 +33,7 @@
       config_(config),
       post_(std::move(post)),
       most_(static_cast<std::size_t>(config.sockets * kTargetPart)),
+      most_bytes_((static_cast<std::size_t>(config.memory_mb) << 20) / kMemoryPart),
       sweep_(MakeTimer(base, [this] { discarded_.clear(); })) {}
 
 HttpTargets::~HttpTargets() = default;
@@ -168,7 +172,7 @@
   }
   c->attempt = key;
   c->sent = core::Now();
-  c->answer = HttpReader(HttpReader::Kind::kAnswer);
+  c->answer = HttpReader(HttpReader::Kind::kAnswer, kMostAnswer);
   attempts_[key] = c;
   if (!c->connected) c->connect.Start(config_.dial);
   c->limit.Start(limit);
@@ -182,6 +186,17 @@
   return evbuffer_get_length(bufferevent_get_output(c.stream.get())) == 0;
 }
 
+// Guards the memory: answers go beyond the 64 KiB that the protocol names, and all targets may send such at
+// once.
+bool HttpTargets::Fits() const {
+  std::size_t bytes = 0;
+  for (const auto& [key, connection] : attempts_) {
+    const std::size_t claimed = connection->answer.claimed();
+    if (claimed > kUsual) bytes += claimed;
+  }
+  return bytes <= most_bytes_;
+}
+
 void HttpTargets::OnRead(Connection& c) {
   // Nothing was asked: it would be taken for the answer to the next request.
   if (!c.attempt) return Discard(c);
@@ -191,6 +206,7 @@
     if (size == 0) return;
     const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
     evbuffer_drain(input, c.answer.Feed({bytes, size}));
+    if (c.answer.claimed() > kUsual && !Fits()) return Break(c, Outcome::kSevered);
   }
   // An answer to what has not left whole is not this request's, and one that cannot be read is nobody's: the
   // request may have run, and nothing more that comes on the connection can be told apart.
--- a/src/net/http_targets.h
+++ b/src/net/http_targets.h
@@ -59,6 +59,7 @@
   Connection* TakeIdle(const TargetId& target);
   bool MakeRoom();
   void Launch(const Key& key, const TargetId& target, Time limit, const HttpRequest* request);
+  bool Fits() const;
   bool Written(const Connection& connection) const;
   void OnRead(Connection& connection);
   void OnAnswer(Connection& connection);
@@ -70,7 +71,7 @@
   event_base* base_;
   const Config& config_;
   core::Post post_;
-  std::size_t most_;
+  std::size_t most_, most_bytes_;
   std::uint64_t next_ = 1;
   std::uint64_t probes_ = 0;
   std::map<TargetId, std::string> addresses_;
--- a/tests/net/garble_test.cpp
+++ b/tests/net/garble_test.cpp
@@ -57,6 +57,24 @@
     box a expect nothing 60)");
 }
 
+std::string Large(std::size_t size) {
+  return "box a send bytes \"HTTP/1.1 200 OK\\r\\nContent-Length: " + std::to_string(size) + "\\r\\n\\r\\n";
+}
+
+TEST_CASE("an answer beyond 64 KiB is served unchanged; one beyond 1 MiB, or beyond the memory, is not") {
+  auto config = BasicConfig();
+  config["limits"]["memory_mb"] = 8;
+  Stage stage(Wire::kHttp, config);
+  const std::string body(400'000, 'x');
+  stage.Play("client c send read\n box a expect read\n" + Large(body.size()) + body +
+             "\"\nclient c expect served");
+  CHECK(stage.last().body == body);
+  stage.Play("client c send write\n box a expect write\n" + Large(1'100'000) + "x\"\nclient c expect failed");
+  stage.Play("client c send write\n box a expect write\n" + Large(800'000) +
+             "x\"\nclient c expect nothing 50");
+  stage.Play("client d send write\n box a expect write\n" + Large(800'000) + "x\"\nclient d expect failed");
+}
+
 TEST_CASE("what comes behind an answer is never the next one") {
   const char* more = "";
   const char* wait = "";
