After SIGTERM serve open connections until shortly before the kill, and end before it

Now connections stay until 0.6 s before the end; whatever is open 0.1 s before it is timed out (Front::EndBy, both fronts), and the end is 0.1 s before SIGKILL at the earliest. A program without clients ends after 0.45 s as before.

--- a/src/core/port.h
+++ b/src/core/port.h
@@ -15,6 +15,7 @@
   virtual ~Front() = default;
   virtual void Finish(const Answer& answer) = 0;
   virtual std::size_t held() const = 0;  // requests taken and not answered
+  virtual void EndBy(Time end) = 0;      // what is unanswered then is timed out
   virtual void Drain() = 0;              // from now on connections end with their next answer
   virtual std::size_t connections() const = 0;
 };
--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstring>
 #include <stdexcept>
 #include <vector>
@@ -213,7 +214,8 @@
   held.client = client.number;
   held.cookie = cookie;
   held.deadline = net::MakeTimer(base_, [this, serial] { post_(core::Expired{serial}); });
-  held.deadline.Start(patience + kDeadlineGuard);
+  held.until = arrived.deadline + kDeadlineGuard;
+  held.deadline.Start((end_ > 0 ? std::min(held.until, end_) : held.until) - core::Now());
   post_(std::move(arrived));
 }
 
@@ -265,6 +267,13 @@
   }
 }
 
+void Front::EndBy(Time end) {
+  end_ = end;
+  for (auto& [serial, held] : held_) {
+    if (held.until > end) held.deadline.Start(end - core::Now());
+  }
+}
+
 void Front::Drain() {
   draining_ = true;
   std::vector<Client*> all;
--- a/src/nbd/front.h
+++ b/src/nbd/front.h
@@ -30,6 +30,7 @@
 
   void Finish(const core::Answer& answer) override;
   std::size_t held() const override { return held_.size(); }
+  void EndBy(Time end) override;
   void Drain() override;
   std::size_t connections() const override { return clients_.size(); }
   int port() const { return port_; }
@@ -54,6 +55,7 @@
   struct Held {
     std::uint64_t client = 0;
     std::uint64_t cookie = 0;
+    Time until = 0;
     net::Watcher deadline;
   };
 
@@ -73,6 +75,7 @@
   std::function<core::Serial()> next_serial_;
   core::Post post_;
   bool draining_ = false;
+  Time end_ = 0;  // 0: none is in sight
   int port_ = 0;
   std::uint64_t next_client_ = 1;
   std::unordered_map<std::uint64_t, std::unique_ptr<Client>> clients_;
--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -295,7 +295,8 @@
   held.client = client.number;
   const core::Serial serial = arrived.serial;
   held.deadline = MakeTimer(base_, [this, serial] { post_(core::Expired{serial}); });
-  held.deadline.Start(left + kDeadlineGuard);
+  held.until = arrived.deadline + kDeadlineGuard;
+  held.deadline.Start((end_ > 0 ? std::min(held.until, end_) : held.until) - core::Now());
   post_(std::move(arrived));
 }
 
@@ -347,6 +348,14 @@
   if (gone->serial != 0 && held_.erase(gone->serial) > 0) post_(core::Departed{gone->serial});
 }
 
+// Guards against requests that the end of the program would find unanswered.
+void HttpFront::EndBy(Time end) {
+  end_ = end;
+  for (auto& [serial, held] : held_) {
+    if (held.until > end) held.deadline.Start(end - core::Now());
+  }
+}
+
 void HttpFront::Drain() {
   draining_ = true;
   std::vector<Client*> idle;
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -30,6 +30,7 @@
 
   void Finish(const core::Answer& answer) override;
   std::size_t held() const override { return held_.size(); }
+  void EndBy(Time end) override;
   void Drain() override;
   std::size_t connections() const override { return clients_.size(); }
 
@@ -61,6 +62,7 @@
   };
   struct Held {
     std::uint64_t client = 0;
+    Time until = 0;
     Watcher deadline;
   };
 
@@ -82,6 +84,7 @@
   Serials* serials_;
   core::Post post_;
   bool ready_ = false, draining_ = false;
+  Time end_ = 0;  // 0: none is in sight
   int port_ = 0;
   std::size_t most_;
   std::uint64_t next_ = 1;
--- a/src/net/initiator.cpp
+++ b/src/net/initiator.cpp
@@ -12,12 +12,15 @@
 namespace walnutspur::net {
 namespace {
 
-constexpr Time kStay = 450'000;                  // us after SIGTERM in which all goes on: clients still come
+constexpr Time kStay = 450'000;  // us after SIGTERM in which new clients still come
+constexpr Time kClose =
+    600'000;  // us before the end: until then clients go on with the connections they have
+constexpr Time kAnswer = 100'000;                // us before the end by which all is answered
 constexpr std::size_t kMostNbd = 64;             // clients, and connections to boxes
 constexpr int kNbdPart = 16;                     // of the descriptors each has one in so many
 constexpr std::size_t kMostRecorded = 64 << 20;  // bytes: files count as memory
 constexpr Time kLook = 50'000;                   // us between looks whether all is answered
-constexpr Time kLongestLeast = 3'000'000;        // us; the platform counts a shorter deadline as this one
+constexpr Time kLongestMost = 3'000'000;         // us; the platform counts a longer deadline as this one
 constexpr Time kKilled = 600'000;                // us after the longest deadline; SIGKILL comes at 0.7 s
 
 BaseRef MakeBase() {
@@ -102,7 +105,7 @@
     if (!nbd_front_) return {};
     return {ParseAddress(nbd_.listen).host, static_cast<std::uint16_t>(nbd_front_->port())};
   };
-  const Time quiet = std::max(kLongestLeast, config_.longest_deadline) + kKilled;
+  const Time quiet = std::max(kLongestMost, config_.longest_deadline) + kKilled;
   player_ = std::make_unique<pcap::Player>(base_.get(), streams, address_of, quiet, [this] {
     std::size_t sent = 0, received = 0;
     for (const auto& result : player_->results())
@@ -164,6 +167,12 @@
   return *targets_;
 }
 
+std::vector<core::Front*> Initiator::fronts() {
+  std::vector<core::Front*> all{front_.get()};
+  if (nbd_front_) all.push_back(nbd_front_.get());
+  return all;
+}
+
 core::Front& Initiator::front(core::Wire wire) {
   if (wire == core::Wire::kNbd) return *nbd_front_;
   return *front_;
@@ -186,13 +195,17 @@
   rings_[number].Start(output.after);
 }
 
-// SIGTERM: all goes on for as long as clients may still come, then connections end with their next answer,
-// and the program with the last of them, or before it would be killed.
+// SIGTERM: all goes on for as long as clients may still come, and then for as long as they keep connections:
+// what they would ask on those reaches no other initiator. Shortly before the program would be killed
+// connections end with their next answer, and what is unanswered then is timed out.
 void Initiator::Drain() {
   if (stopped_ != 0) return;
   stopped_ = core::Now();
   leave_.Start(kStay);
-  last_.Start(std::max(kLongestLeast, config_.longest_deadline) + kKilled);
+  const Time last = std::min(kLongestMost, config_.longest_deadline) + kKilled;
+  last_.Start(last);
+  stopped_ += last;
+  for (core::Front* front : fronts()) front->EndBy(stopped_ - kAnswer);
 }
 
 // SIGHUP: the whole file is read and checked before anything of it holds, so a bad one changes nothing.
@@ -210,10 +223,8 @@
 
 void Initiator::Leave() {
   std::size_t left = 0;
-  for (core::Front* front :
-       {static_cast<core::Front*>(front_.get()), static_cast<core::Front*>(nbd_front_.get())}) {
-    if (!front) continue;
-    front->Drain();
+  for (core::Front* front : fronts()) {
+    if (core::Now() >= stopped_ - kClose) front->Drain();
     left += front->held() + front->connections();
   }
   if (left == 0) {
--- a/src/net/initiator.h
+++ b/src/net/initiator.h
@@ -71,6 +71,7 @@
   void StartNbd(const std::string& path, const core::Post& post);
   void StartReplay(const std::string& path);
   core::Front& front(core::Wire wire);
+  std::vector<core::Front*> fronts();
 
   Config config_;
   std::function<Config()> read_config_;
@@ -86,7 +87,7 @@
   std::unique_ptr<pcap::Player> player_;
   std::uint64_t next_ring_ = 0;
   std::map<std::uint64_t, Watcher> rings_;
-  Time stopped_ = 0;
+  Time stopped_ = 0;  // when it ends at the latest, once it has been told to
   Watcher outputs_, stop_, term_, interrupt_, hangup_, leave_, last_;
   std::unique_ptr<core::Owner> owner_;
 };
