Close connections that asked once after 2 s idle: they filled the clients' third

So clients did not come: they hold a third of the descriptors (128) at most, and connections that asked once and stay filled that, while the front, with 0.45 of them (172), had no cause to end any before kIdle, 60 s (src/net/http_front.cpp).

--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -19,7 +19,8 @@
 namespace {
 
 constexpr Time kWhole = 2'500'000;      // us from its start by which a request must be whole
-constexpr Time kIdle = 60'000'000;      // us that a connection may stay idle
+constexpr Time kIdle = 20'000'000;      // us that a connection may stay idle
+constexpr Time kIdleOnce = 2'000'000;   // us that one may which has asked once: many never ask again
 constexpr Time kUnread = 10'000'000;    // us in which a client must have read its answer
 constexpr Time kLinger = 500'000;       // us after the last answer in which the client may close first
 constexpr Time kPause = 50'000;         // us in which a client that was turned away is not read
@@ -27,7 +28,8 @@
 constexpr Time kDeadlineGuard = 5'000;  // us past the deadline: attempts' own timers come first
 constexpr Time kSettle = 30'000;        // us that a new connection has to say something, or something more
 constexpr Time kIdleLeast = 250'000;    // us that one which asks again and again is kept while idle
-constexpr double kClientPart = 0.45;    // of the descriptors: usual clients use a third at most
+constexpr double kClientPart =
+    0.3;  // of the descriptors: clients hold a third and come no more when that is full
 constexpr int kBacklog = 1024;
 constexpr std::size_t kUsualBody = 64 << 10;     // bytes; larger answers are served while there is memory
 constexpr std::size_t kUnreadPart = 4;           // of the memory one part is for answers that are not read
@@ -237,7 +239,7 @@
     client.closing = true;
     client.linger.Start(kLinger);
   } else {
-    client.idle.Start(kIdle);
+    client.idle.Start(client.asked > 1 ? kIdle : kIdleOnce);
   }
   client.unread.Start(kUnread);
   bufferevent_write(client.stream.get(), text.data(), text.size());
--- a/tests/net/rude_test.cpp
+++ b/tests/net/rude_test.cpp
@@ -145,7 +145,25 @@
     client d expect served)");
   CHECK(core::Now() - before < 1'000'000);
   stage.Halt();
-  CHECK(stage.initiator().front().connections() <= 45);
+  CHECK(stage.initiator().front().connections() <= 30);
+}
+
+TEST_CASE("a connection that has asked once ends when it stays idle; one that asks on is kept") {
+  Stage stage(Wire::kHttp);
+  Socket once = Socket::Connect(stage.http_port()), again = Socket::Connect(stage.http_port());
+  const std::string ask = "GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n";
+  Message answer;
+  again.Send(ask);
+  REQUIRE(ReadMessage(again, &answer, 1'000));
+  for (Socket* socket : {&once, &again}) {
+    socket->Send(ask);
+    REQUIRE(ReadMessage(*socket, &answer, 1'000));
+  }
+  const Time before = core::Now();
+  CHECK_FALSE(once.Fill(3'000));
+  CHECK(once.fd() < 0);
+  CHECK(core::Now() - before > 1'900'000);  // not before the protocol allows it
+  CHECK_FALSE(again.Readable(300));
 }
 
 TEST_CASE("clients that ask once and stay leave room for others, and go before one that asks again") {
