--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -270,6 +270,24 @@
   CHECK(stage.Ended(300));
 }
 
+TEST_CASE("after SIGTERM what cannot be answered by the end is timed out before it") {
+  auto config = BasicConfig();
+  config["settings"]["limits"]["cancel"] = false;  // attempts go on to the client's deadline
+  for (const Wire wire : {Wire::kHttp, Wire::kNbd}) {
+    Stage stage(wire, config);
+    stage.Play("client c send read\n box a expect read\n box a send ok\n client c expect served");
+    const Time before = core::Now();
+    stage.Play(R"(
+      signal TERM
+      wait 900
+      client c send write
+      box a expect write
+      client c expect failed)");
+    CHECK(core::Now() - before < 1'800'000);
+    CHECK(stage.Ended(300));
+  }
+}
+
 TEST_CASE("after SIGTERM a program without clients ends at once") {
   Stage stage(Wire::kHttp);
   stage.Play("signal TERM");
