Keep connections whose request lies unread in the kernel when room is made

A loop that is short of its core ages all connections past kSettle (30 ms) before it reads them. Wrong lines: MakeRoom in src/net/http_front.cpp judged by what had been read, Drain likewise.

Now neither ends a connection with bytes unread. Test: a front whose loop stalls for 60 ms behind an accept; without the guard the client is cut off.

--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -169,6 +170,8 @@
                      : c->asked == 1 ? 3
                                      : 4;
     if (rank == 0 || (best && (rank > best_rank || (rank == best_rank && c->since >= best->since)))) continue;
+    // What it sent may wait for our own turn: a program that is short of its core ages all of them.
+    if (rank > 1 && Unread(*c)) continue;
     best = c.get();
     best_rank = rank;
   }
@@ -176,6 +179,11 @@
   return best != nullptr;
 }
 
+bool HttpFront::Unread(const Client& client) const {
+  int bytes = 0;
+  return ioctl(bufferevent_getfd(client.stream.get()), FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
 bool HttpFront::Idle(const Client& client) const {
   return client.serial == 0 && !client.reader.begun() &&
          evbuffer_get_length(bufferevent_get_input(client.stream.get())) == 0 &&
@@ -362,7 +370,7 @@
   draining_ = true;
   std::vector<Client*> idle;
   for (const auto& [number, client] : clients_) {
-    if (!client->closing && Idle(*client)) idle.push_back(client.get());
+    if (!client->closing && Idle(*client) && !Unread(*client)) idle.push_back(client.get());
   }
   for (Client* client : idle) End(*client);
 }
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -78,6 +78,7 @@
   bool Fits(std::size_t size) const;
   void End(Client& client);
   bool Idle(const Client& client) const;
+  bool Unread(const Client& client) const;  // something of it waits in the kernel
 
   event_base* base_;
   const Config& config_;
--- a/tests/net/rude_test.cpp
+++ b/tests/net/rude_test.cpp
@@ -1,6 +1,10 @@
 // Clients that send what cannot be taken, or nothing, or far too much.
 #include <doctest/doctest.h>
 
+#include <chrono>
+#include <thread>
+
+#include "net/http_front.h"
 #include "stage.h"
 
 namespace walnutspur::test {
@@ -148,6 +152,23 @@
   CHECK(stage.initiator().front().connections() <= 30);
 }
 
+TEST_CASE("a loop that stalls ends no connection whose request has come but was not read yet") {
+  std::unique_ptr<event_base, net::Freed<event_base_free>> base(event_base_new());
+  net::Config config;
+  config.listen = net::ParseAddress("127.0.0.1:0");
+  config.sockets = 4;  // room for one client
+  net::Serials serials;
+  net::HttpFront front(base.get(), config, &serials, [](core::Input) {});
+  front.on_accept = [](bufferevent*) { std::this_thread::sleep_for(std::chrono::milliseconds(60)); };
+  Socket first = Socket::Connect(front.port());
+  first.Send("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n");
+  event_base_loop(base.get(), EVLOOP_NONBLOCK);
+  event_base_loop(base.get(), EVLOOP_NONBLOCK);
+  Message answer;
+  REQUIRE(ReadMessage(first, &answer, 1'000));
+  CHECK(answer.start.substr(9, 3) == "503");
+}
+
 TEST_CASE("a connection that has asked once ends when it stays idle; one that asks on is kept") {
   Stage stage(Wire::kHttp);
   Socket once = Socket::Connect(stage.http_port()), again = Socket::Connect(stage.http_port());
