Send again what later attempts have overtaken, where that is safe and still in time

Reads among them ended at twice their aim, and MayTryAgain (src/decide.cpp) sends nothing again after the aim, so they were lost, though later attempts had overtaken them: of 384 that Lost() told, 363 never came back. Ruled out: our closing of connections, how large answers come in (at once), the module's count of leaving clients (6 %).

Now a completed answer calls back what it shows to be overtaken by four times its own work and 0.12 of its aim, if the class is safe to repeat, an attempt is left and the aim can still be met.

The new test finds no call back without the change.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -50,6 +50,8 @@
 constexpr double kFirstUnitTime = 20'000;  // us a unit, until the first answers tell
 constexpr double kLostAfter = 4;           // times its own work by which an attempt must be overtaken, and
 constexpr double kAimForLost = 0.25;       // part of the tightest aim: then it is lost, not slow
+constexpr double kAgainAfter = 4;          // times its own work by which an attempt is overtaken, and
+constexpr double kAimForAgain = 0.12;      // part of its own aim: then it is sent again, if that is safe
 constexpr double kLinger = 3;              // times its age that what ended unanswered stays in the count
 constexpr double kTrialAfter = 0.8;    // part of the tightest aim without a send to a node that looks stuck,
 constexpr double kTrialWaits = 4;      // and so many of its usual waits: then it gets a trial
@@ -94,6 +96,7 @@
   int attempts = 0;
   Node* out = nullptr;  // where an attempt is out
   Time sent = 0;
+  int called_back = 0;   // the attempt, counted from 1, that was called back
   double tag_floor = 0;  // the node's virtual time when it came
   Time risk = -1;        // send of the first attempt that may have run
   int risk_cell = -1, risk_zone = -1;
@@ -318,6 +321,7 @@
     } else {
       Finish(r);
     }
+    if (d.outcome == Outcome::kCompleted) CallBack(node);
     Pump(node);
     if (r->stream && r->stream->cell != node.cell && !r->ended) {
       if (Node* other = Holder(r->stream->cell)) Pump(*other);
@@ -865,6 +869,23 @@
     return double(further_.size()) + waiting + 1 <= allowed;
   }
 
+  // Calls back what later attempts have overtaken, while another one can still meet the aim: its outcome is
+  // what sends it again. Guards against connections that fall silent and answers that stop short, which would
+  // end by time-out only once the aim is over. Uneven work may be called back in vain; it is rare.
+  void CallBack(const Node& node) {
+    if (!s_.may_cancel) return;
+    for (const Attempt& a : node.out) {
+      Request& r = *a.request;
+      const RequestClass& c = s_.classes[r.cls];
+      const double overtaken = kAgainAfter * a.units * node.unit_time + kAimForAgain * double(c.aim);
+      if (double(node.passed - a.sent) <= overtaken || a.until > 0 || r.ended || r.out != &node) continue;
+      if (c.effect != Effect::kSafe || c.serial_by_key || r.called_back == r.attempts) continue;
+      if (r.attempts >= s_.try_limit || !Feasible(r, node) || !RationLeft()) continue;
+      r.called_back = r.attempts;
+      actions_.push_back(Retract{r.id, r.attempts - 1});
+    }
+  }
+
   bool MayTryAgain(const Request& r, Outcome outcome) {
     if (r.attempts >= s_.try_limit || now_ >= r.aim_at || outcome == Outcome::kSuperseded) return false;
     if (now_ + 2 * kTick >= r.deadline) return false;  // rule: no request lost; no timer would see it in time
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -203,6 +203,37 @@
   EXPECT_EQ(rig.Sends("next"), 1);
 }
 
+// Failure: reads on connections that fell silent ended by time-out at twice their aim, and were not sent
+// again.
+TEST(Lost, AnAttemptThatOthersOvertookIsSentAgainWhileThatCanMeetTheAim) {
+  for (const int cls : {0, 1}) {
+    Settings s = Basic();
+    s.may_cancel = true;
+    Rig rig(s);
+    rig.Fleet(1);
+    rig.Play(Rig::Request("swallowed", cls));
+    Time called_back = 0;
+    for (int i = 0; i < 15; ++i) {
+      const std::string id = "r" + std::to_string(i);
+      rig.Play(Rig::Request(id));
+      rig.Pass(20 * kMs);
+      rig.End(id, Outcome::kCompleted, 20 * kMs);
+      if (called_back == 0 && !rig.Of<Retract>().empty()) called_back = rig.now();
+    }
+    const auto back = rig.Of<Retract>();
+    if (cls == 1) {  // it may have run, and must not run twice
+      EXPECT_TRUE(back.empty());
+      continue;
+    }
+    ASSERT_EQ(back.size(), 1u);  // once
+    EXPECT_EQ(back[0].id, "swallowed");
+    EXPECT_GT(called_back, 1'000 * kSec + 60 * kMs);  // work a little uneven is left alone
+    rig.End("swallowed", Outcome::kRecalled, 100 * kMs);
+    EXPECT_EQ(rig.Sends("swallowed"), 2);
+    EXPECT_EQ(rig.Finals("swallowed"), 0);
+  }
+}
+
 TEST(Lost, ANodeThatLooksStuckGetsATrialButNoPile) {
   Rig rig;
   rig.Fleet(1);
