Let the scenario of large answers hold on a machine that is slow to send them

Seen: with six copies of the network tests under TSan on two cores, four failed in "an answer beyond 64 KiB": a box heard no write, or the client heard a refusal. Checked: the first answer of 400 KB takes the stand-in so long there that the module takes the box for slow and refuses, as it should; nothing is wrong on the connections. Ruled out: the bound of large answers (the same 8 MB), the resend of overtaken attempts (no Retract without a completed answer).

--- a/tests/net/garble_test.cpp
+++ b/tests/net/garble_test.cpp
@@ -64,6 +64,10 @@
 TEST_CASE("an answer beyond 64 KiB is served unchanged; one beyond 1 MiB, or beyond the memory, is not") {
   auto config = BasicConfig();
   config["limits"]["memory_mb"] = 8;
+  for (auto& cls : config["settings"]["classes"]) {  // a machine that is slow to send so much is no slow box
+    cls["aim"] = 8'000'000;
+    cls["deadline"] = 16'000'000;
+  }
   Stage stage(Wire::kHttp, config);
   const std::string body(400'000, 'x');
   stage.Play("client c send read\n box a expect read\n" + Large(body.size()) + body +
