--- a/src/net/initiator.cpp
+++ b/src/app/initiator.cpp
@@ -1,4 +1,4 @@
-#include "net/initiator.h"
+#include "app/initiator.h"
 
 #include <event2/thread.h>
 
@@ -9,7 +9,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace walnutspur::net {
+namespace walnutspur::app {
 namespace {
 
 constexpr Time kStay = 450'000;  // us after SIGTERM in which new clients still come
@@ -24,10 +24,10 @@
 constexpr Time kLongestMost = 3'000'000;         // us; the platform counts a longer deadline as this one
 constexpr Time kKilled = 600'000;                // us after the longest deadline; SIGKILL comes at 0.7 s
 
-BaseRef MakeBase() {
+loop::BaseRef MakeBase() {
   static const int threads = evthread_use_pthreads();
   if (threads != 0) throw std::runtime_error("libevent has no threads");
-  return BaseRef(event_base_new());
+  return loop::BaseRef(event_base_new());
 }
 
 }  // namespace
@@ -47,14 +47,15 @@
   return options;
 }
 
-Initiator::Initiator(Config config, const Options& options) : config_(std::move(config)), base_(MakeBase()) {
+Initiator::Initiator(http::Config config, const Options& options)
+    : config_(std::move(config)), base_(MakeBase()) {
   std::signal(SIGPIPE, SIG_IGN);
   const core::Post post = [this](core::Input input) { owner_->Post(std::move(input)); };
-  outputs_ = Watcher(base_.get(), -1, EV_PERSIST, [this] {
+  outputs_ = loop::Watcher(base_.get(), -1, EV_PERSIST, [this] {
     for (const core::Output& output : owner_->Take()) std::visit([this](const auto& o) { Do(o); }, output);
   });
-  targets_ = std::make_unique<HttpTargets>(base_.get(), config_, post);
-  front_ = std::make_unique<HttpFront>(base_.get(), config_, &serials_, post);
+  targets_ = std::make_unique<http::Targets>(base_.get(), config_, post);
+  front_ = std::make_unique<http::Front>(base_.get(), config_, &serials_, post);
   if (!options.nbd.empty()) StartNbd(options.nbd, post);
   if (!options.record.empty()) {
     recorder_ = std::make_unique<pcap::Recorder>(options.record, kMostRecorded);
@@ -62,19 +63,19 @@
     front_->on_accept = attach;
     if (nbd_front_) nbd_front_->on_accept = attach;
   }
-  discovery_ = std::make_unique<Discovery>(
+  discovery_ = std::make_unique<http::Discovery>(
       base_.get(), config_,
-      [this](walnutspur::Membership list, const TargetList& raw) { OnList(std::move(list), raw); });
-  term_ = Watcher(base_.get(), SIGTERM, EV_SIGNAL | EV_PERSIST, [this] { Drain(); });
+      [this](walnutspur::Membership list, const http::TargetList& raw) { OnList(std::move(list), raw); });
+  term_ = loop::Watcher(base_.get(), SIGTERM, EV_SIGNAL | EV_PERSIST, [this] { Drain(); });
   // An event of its own: activating a signal's event by hand calls nothing.
-  stop_ = Watcher(base_.get(), -1, EV_PERSIST, [this] { Drain(); });
-  hangup_ = Watcher(base_.get(), SIGHUP, EV_SIGNAL | EV_PERSIST, [this] { Reload(); });
-  interrupt_ = Watcher(base_.get(), SIGINT, EV_SIGNAL | EV_PERSIST, [this] { Drain(); });
-  leave_ = MakeTimer(base_.get(), [this] { Leave(); });
-  last_ = MakeTimer(base_.get(), [this] { event_base_loopbreak(base_.get()); });
-  TargetList known;
+  stop_ = loop::Watcher(base_.get(), -1, EV_PERSIST, [this] { Drain(); });
+  hangup_ = loop::Watcher(base_.get(), SIGHUP, EV_SIGNAL | EV_PERSIST, [this] { Reload(); });
+  interrupt_ = loop::Watcher(base_.get(), SIGINT, EV_SIGNAL | EV_PERSIST, [this] { Drain(); });
+  leave_ = loop::MakeTimer(base_.get(), [this] { Leave(); });
+  last_ = loop::MakeTimer(base_.get(), [this] { event_base_loopbreak(base_.get()); });
+  http::TargetList known;
   try {
-    if (config_.known.is_object()) known = ReadList(config_, config_.known);
+    if (config_.known.is_object()) known = http::ReadList(config_, config_.known);
   } catch (const std::exception& error) {
     throw std::runtime_error(std::string("'known' cannot be read: ") + error.what());
   }
@@ -93,18 +94,17 @@
   const std::size_t most =
       std::clamp<std::size_t>(static_cast<std::size_t>(config_.sockets / kNbdPart), 1, kMostNbd);
   boxes_ = std::make_unique<nbd::Boxes>(base_.get(), nbd_, most, post);
-  nbd_front_ = std::make_unique<nbd::Front>(
-      base_.get(), nbd_, config_.settings, most, [this] { return serials_.next++; }, post);
+  nbd_front_ = std::make_unique<nbd::Front>(base_.get(), nbd_, config_.settings, most, &serials_, post);
 }
 
 // The streams of a file take the place of clients: each goes to the front whose protocol it speaks.
 void Initiator::StartReplay(const std::string& path) {
   const std::vector<pcap::Stream> streams = pcap::ReadStreams(path);
-  const auto address_of = [this](const pcap::Stream& stream) -> Address {
+  const auto address_of = [this](const pcap::Stream& stream) -> loop::Address {
     if (!pcap::LooksLikeNbd(stream.to_server.bytes()))
       return {config_.listen.host, static_cast<std::uint16_t>(front_->port())};
     if (!nbd_front_) return {};
-    return {ParseAddress(nbd_.listen).host, static_cast<std::uint16_t>(nbd_front_->port())};
+    return {loop::ParseAddress(nbd_.listen).host, static_cast<std::uint16_t>(nbd_front_->port())};
   };
   const Time quiet = std::max(kLongestMost, config_.longest_deadline) + kKilled;
   player_ = std::make_unique<pcap::Player>(base_.get(), streams, address_of, quiet, [this] {
@@ -136,7 +136,7 @@
 
 void Initiator::Halt() { event_base_loopbreak(base_.get()); }
 
-void Initiator::OnList(walnutspur::Membership list, const TargetList& raw) {
+void Initiator::OnList(walnutspur::Membership list, const http::TargetList& raw) {
   for (std::size_t i = 0; i < raw.entries.size(); ++i) {
     if (raw.entries[i].phase == walnutspur::Phase::kDead) {
       targets_->Forget(raw.entries[i].target);
@@ -189,7 +189,7 @@
 void Initiator::Do(const core::Ring& output) {
   const std::uint64_t number = next_ring_++;
   const std::int64_t mark = output.mark;
-  rings_[number] = MakeTimer(base_.get(), [this, number, mark] {
+  rings_[number] = loop::MakeTimer(base_.get(), [this, number, mark] {
     rings_.erase(number);
     owner_->Post(core::Rang{mark});
   });
@@ -213,7 +213,7 @@
 // Requests and connections go on. Only discovery's address is taken over; the rest holds from start to end.
 void Initiator::Reload() {
   try {
-    const Config next = read_config_();
+    const http::Config next = read_config_();
     if (next.discovery == config_.discovery) return;  // a second signal must not cost the watch
     config_.discovery = next.discovery;
     discovery_->Move();
@@ -235,4 +235,4 @@
   }
 }
 
-}  // namespace walnutspur::net
+}  // namespace walnutspur::app
--- a/src/net/initiator.h
+++ b/src/app/initiator.h
@@ -1,6 +1,6 @@
 // One initiator, to be embedded: fronts, engine, connectors and discovery on one loop.
-#ifndef WALNUTSPUR_NET_INITIATOR_H_
-#define WALNUTSPUR_NET_INITIATOR_H_
+#ifndef WALNUTSPUR_APP_INITIATOR_H_
+#define WALNUTSPUR_APP_INITIATOR_H_
 
 #include <functional>
 #include <map>
@@ -11,17 +11,17 @@
 
 #include "core/owner.h"
 #include "core/port.h"
+#include "http/config.h"
+#include "http/discovery.h"
+#include "http/front.h"
+#include "http/targets.h"
+#include "loop/loop.h"
 #include "nbd/boxes.h"
 #include "nbd/config.h"
 #include "nbd/front.h"
-#include "net/config.h"
-#include "net/discovery.h"
-#include "net/http_front.h"
-#include "net/http_targets.h"
-#include "net/loop.h"
 #include "pcap/traffic.h"
 
-namespace walnutspur::net {
+namespace walnutspur::app {
 
 // What stands on the command line.
 struct Options {
@@ -34,7 +34,7 @@
 class Initiator {
  public:
   // Throws std::exception with a message of one line.
-  explicit Initiator(Config config, const Options& options = {});
+  explicit Initiator(http::Config config, const Options& options = {});
   ~Initiator();
   Initiator(const Initiator&) = delete;
   Initiator& operator=(const Initiator&) = delete;
@@ -44,11 +44,11 @@
   void Stop();  // like SIGTERM; from any thread
   // Reads the configuration anew on SIGHUP, by a function that throws on what is wrong; before Run. Without
   // it the signal is not handled. SIGHUP may be blocked until then, so that none is lost: Run unblocks it.
-  void ReloadBy(std::function<Config()> read) { read_config_ = std::move(read); }
+  void ReloadBy(std::function<http::Config()> read) { read_config_ = std::move(read); }
   void Halt();  // ends at once, whatever is unanswered; from any thread
 
   event_base* base() { return base_.get(); }
-  HttpFront& front() { return *front_; }
+  http::Front& front() { return *front_; }
   nbd::Front* nbd_front() { return nbd_front_.get(); }
   const pcap::Player* player() const { return player_.get(); }
   std::size_t box_connections() const { return boxes_ ? boxes_->connections() : 0; }
@@ -57,7 +57,7 @@
   void Drain();
   void Leave();
   void Reload();
-  void OnList(walnutspur::Membership list, const TargetList& raw);
+  void OnList(walnutspur::Membership list, const http::TargetList& raw);
 
   void Do(const core::Attempt& output) { connector(output.wire).Start(output); }
   void Do(const core::Cancel& output) { connector(output.wire).Stop(output.serial, output.trial); }
@@ -73,25 +73,25 @@
   core::Front& front(core::Wire wire);
   std::vector<core::Front*> fronts();
 
-  Config config_;
-  std::function<Config()> read_config_;
-  BaseRef base_;
-  Serials serials_;
+  http::Config config_;
+  std::function<http::Config()> read_config_;
+  loop::BaseRef base_;
+  core::Serials serials_;
   nbd::Config nbd_;
   std::unique_ptr<pcap::Recorder> recorder_;
-  std::unique_ptr<HttpFront> front_;
-  std::unique_ptr<HttpTargets> targets_;
-  std::unique_ptr<Discovery> discovery_;
+  std::unique_ptr<http::Front> front_;
+  std::unique_ptr<http::Targets> targets_;
+  std::unique_ptr<http::Discovery> discovery_;
   std::unique_ptr<nbd::Front> nbd_front_;
   std::unique_ptr<nbd::Boxes> boxes_;
   std::unique_ptr<pcap::Player> player_;
   std::uint64_t next_ring_ = 0;
-  std::map<std::uint64_t, Watcher> rings_;
+  std::map<std::uint64_t, loop::Watcher> rings_;
   Time stopped_ = 0;  // when it ends at the latest, once it has been told to
-  Watcher outputs_, stop_, term_, interrupt_, hangup_, leave_, last_;
+  loop::Watcher outputs_, stop_, term_, interrupt_, hangup_, leave_, last_;
   std::unique_ptr<core::Owner> owner_;
 };
 
-}  // namespace walnutspur::net
+}  // namespace walnutspur::app
 
-#endif  // WALNUTSPUR_NET_INITIATOR_H_
+#endif  // WALNUTSPUR_APP_INITIATOR_H_
--- a/src/net/config.cpp
+++ b/src/app/platform.cpp
@@ -1,4 +1,4 @@
-#include "net/config.h"
+#include "app/platform.h"
 
 #include <algorithm>
 #include <charconv>
@@ -7,7 +7,7 @@
 
 #include "wire.h"
 
-namespace walnutspur::net {
+namespace walnutspur::app {
 namespace {
 
 using nlohmann::json;
@@ -21,17 +21,12 @@
 
 }  // namespace
 
-int IndexOf(const std::vector<std::string>& names, const std::string& name) {
-  const auto at = std::find(names.begin(), names.end(), name);
-  return at == names.end() ? -1 : static_cast<int>(at - names.begin());
-}
-
-Config ParseConfig(const json& j) {
-  Config c;
+http::Config ParseConfig(const json& j) {
+  http::Config c;
   c.name = j.value("name", "initiator");
-  c.listen = ParseAddress(j.at("listen").get<std::string>());
-  c.discovery = ParseAddress(j.at("discovery").get<std::string>());
-  ToSocket(c.discovery);  // there is no DNS: a name would never be reached
+  c.listen = loop::ParseAddress(j.at("listen").get<std::string>());
+  c.discovery = loop::ParseAddress(j.at("discovery").get<std::string>());
+  loop::ToSocket(c.discovery);  // there is no DNS: a name would never be reached
   const std::string seed = j.value("seed", "0");
   const auto [at, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
   if (error != std::errc() || at != seed.data() + seed.size())
@@ -60,7 +55,7 @@
   return c;
 }
 
-Config LoadConfig(const std::string& path) {
+http::Config LoadConfig(const std::string& path) {
   std::ifstream file(path);
   if (!file) throw std::runtime_error("cannot read " + path);
   try {
@@ -70,4 +65,4 @@
   }
 }
 
-}  // namespace walnutspur::net
+}  // namespace walnutspur::app
--- a/src/core/port.h
+++ b/src/core/port.h
@@ -10,6 +10,11 @@
 
 using Post = std::function<void(Input)>;
 
+// Numbers the requests of all fronts of a process.
+struct Serials {
+  Serial next = 1;
+};
+
 class Front {
  public:
   virtual ~Front() = default;
--- a/src/net/config.h
+++ b/src/http/config.h
@@ -1,27 +1,32 @@
-// What an initiator is told at its start.
-#ifndef WALNUTSPUR_NET_CONFIG_H_
-#define WALNUTSPUR_NET_CONFIG_H_
+// What the HTTP side of an initiator is told at its start. Who reads it from a file is another matter: see
+// app/platform.h.
+#ifndef WALNUTSPUR_HTTP_CONFIG_H_
+#define WALNUTSPUR_HTTP_CONFIG_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
-#include "net/address.h"
+#include "loop/address.h"
 #include "walnutspur/scheduler.h"
 
-namespace walnutspur::net {
+namespace walnutspur::http {
 
 // The names that the platform's protocol uses, with the numbers that the module uses.
 struct Names {
   std::vector<std::string> classes, plans, zones, kinds;
 };
 // The number of a name, or -1.
-int IndexOf(const std::vector<std::string>& names, const std::string& name);
+inline int IndexOf(const std::vector<std::string>& names, const std::string& name) {
+  const auto at = std::find(names.begin(), names.end(), name);
+  return at == names.end() ? -1 : static_cast<int>(at - names.begin());
+}
 
 struct Config {
   std::string name;
-  Address listen, discovery;
+  loop::Address listen, discovery;
   std::uint64_t seed = 0;
   int sockets = 1024;
   int memory_mb = 192;
@@ -35,10 +40,6 @@
   nlohmann::json known;  // the list as it was held last, in discovery's form
 };
 
-Config ParseConfig(const nlohmann::json& json);
-// Throws std::exception with a message of one line.
-Config LoadConfig(const std::string& path);
+}  // namespace walnutspur::http
 
-}  // namespace walnutspur::net
-
-#endif  // WALNUTSPUR_NET_CONFIG_H_
+#endif  // WALNUTSPUR_HTTP_CONFIG_H_
--- a/src/net/discovery.cpp
+++ b/src/http/discovery.cpp
@@ -1,10 +1,10 @@
-#include "net/discovery.h"
+#include "http/discovery.h"
 
 #include <event2/buffer.h>
 
 #include <cstdio>
 
-namespace walnutspur::net {
+namespace walnutspur::http {
 namespace {
 
 // A live watch brings at least an empty line every 2 s; discovery answers or gives up a call within 2 s.
@@ -17,8 +17,8 @@
     : base_(base),
       config_(config),
       on_list_(std::move(on_list)),
-      silence_(MakeTimer(base, [this] { OnEnd(); })),
-      sweep_(MakeTimer(base, [this] { old_.reset(); })) {}
+      silence_(loop::MakeTimer(base, [this] { OnEnd(); })),
+      sweep_(loop::MakeTimer(base, [this] { old_.reset(); })) {}
 
 void Discovery::Watch() {
   Close();
@@ -93,4 +93,4 @@
   }
 }
 
-}  // namespace walnutspur::net
+}  // namespace walnutspur::http
--- a/src/net/discovery.h
+++ b/src/http/discovery.h
@@ -1,17 +1,17 @@
 // Watches discovery for the list of targets.
-#ifndef WALNUTSPUR_NET_DISCOVERY_H_
-#define WALNUTSPUR_NET_DISCOVERY_H_
+#ifndef WALNUTSPUR_HTTP_DISCOVERY_H_
+#define WALNUTSPUR_HTTP_DISCOVERY_H_
 
 #include <functional>
 #include <memory>
 #include <string>
 
 #include "core/port.h"
-#include "net/config.h"
-#include "net/loop.h"
-#include "net/messages.h"
+#include "http/config.h"
+#include "http/messages.h"
+#include "loop/loop.h"
 
-namespace walnutspur::net {
+namespace walnutspur::http {
 
 class Discovery {
  public:
@@ -38,10 +38,10 @@
   long revision_ = 0;
   bool open_ = false;
   std::string partial_;
-  Watcher silence_, sweep_;
-  std::unique_ptr<evhttp_connection, Freed<evhttp_connection_free>> link_, old_;
+  loop::Watcher silence_, sweep_;
+  std::unique_ptr<evhttp_connection, loop::Freed<evhttp_connection_free>> link_, old_;
 };
 
-}  // namespace walnutspur::net
+}  // namespace walnutspur::http
 
-#endif  // WALNUTSPUR_NET_DISCOVERY_H_
+#endif  // WALNUTSPUR_HTTP_DISCOVERY_H_
--- a/src/net/http_front.cpp
+++ b/src/http/front.cpp
@@ -1,4 +1,4 @@
-#include "net/http_front.h"
+#include "http/front.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -14,9 +14,9 @@
 #include <vector>
 
 #include "core/owner.h"
-#include "net/messages.h"
+#include "http/messages.h"
 
-namespace walnutspur::net {
+namespace walnutspur::http {
 namespace {
 
 constexpr Time kWhole = 2'500'000;      // us from its start by which a request must be whole
@@ -68,21 +68,21 @@
 
 }  // namespace
 
-HttpFront::HttpFront(event_base* base, const Config& config, Serials* serials, core::Post post)
+Front::Front(event_base* base, const Config& config, core::Serials* serials, core::Post post)
     : base_(base),
       config_(config),
       serials_(serials),
       post_(std::move(post)),
       most_(std::max<std::size_t>(1, static_cast<std::size_t>(config.sockets * kClientPart))),
-      resume_(MakeTimer(base, [this] {
+      resume_(loop::MakeTimer(base, [this] {
         if (clients_.size() >= most_ && !MakeRoom()) return Pause();
         evconnlistener_enable(listener_.get());
       })) {
-  sockaddr_in address = ToSocket(config.listen);
+  sockaddr_in address = loop::ToSocket(config.listen);
   listener_.reset(evconnlistener_new_bind(
       base,
       [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
-        static_cast<HttpFront*>(arg)->OnAccept(fd);
+        static_cast<Front*>(arg)->OnAccept(fd);
       },
       this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, kBacklog,
       reinterpret_cast<sockaddr*>(&address), sizeof address));
@@ -91,7 +91,7 @@
                              std::to_string(config.listen.port) + ": " + std::strerror(errno));
   // EMFILE and the like must not make the loop spin on a listener that stays readable, nor end the program.
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* arg) {
-    auto* self = static_cast<HttpFront*>(arg);
+    auto* self = static_cast<Front*>(arg);
     self->MakeRoom();
     self->Pause();
   });
@@ -100,14 +100,14 @@
   port_ = ntohs(address.sin_port);
 }
 
-HttpFront::~HttpFront() = default;
+Front::~Front() = default;
 
-void HttpFront::Pause() {
+void Front::Pause() {
   evconnlistener_disable(listener_.get());
   resume_.Start(kAcceptAgain);
 }
 
-void HttpFront::OnAccept(evutil_socket_t fd) {
+void Front::OnAccept(evutil_socket_t fd) {
   auto made = std::make_unique<Client>();
   Client* c = made.get();
   c->owner = this;
@@ -122,11 +122,11 @@
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   // Each ends a wait that a client could stretch for good.
   c->unfinished =
-      MakeTimer(base_, [this, c] { TurnAway(*c, 408, "the request did not become whole in time"); });
-  c->idle = MakeTimer(base_, [this, c] { End(*c); });
-  c->unread = MakeTimer(base_, [this, c] { End(*c); });
-  c->linger = MakeTimer(base_, [this, c] { End(*c); });
-  c->pause = MakeTimer(base_, [this, c] {
+      loop::MakeTimer(base_, [this, c] { TurnAway(*c, 408, "the request did not become whole in time"); });
+  c->idle = loop::MakeTimer(base_, [this, c] { End(*c); });
+  c->unread = loop::MakeTimer(base_, [this, c] { End(*c); });
+  c->linger = loop::MakeTimer(base_, [this, c] { End(*c); });
+  c->pause = loop::MakeTimer(base_, [this, c] {
     bufferevent_enable(c->stream.get(), EV_READ);
     OnRead(*c);
   });
@@ -156,7 +156,7 @@
 // Guards usual clients against floods: for a new connection one goes that is of no use any more, or has said
 // nothing whole since it came, or else has asked once and no more, or has been idle the longest. While all
 // that could go have only just come, further ones wait in the listener's backlog.
-bool HttpFront::MakeRoom() {
+bool Front::MakeRoom() {
   const Time now = core::Now();
   Client* best = nullptr;
   int best_rank = 0;
@@ -179,18 +179,18 @@
   return best != nullptr;
 }
 
-bool HttpFront::Unread(const Client& client) const {
+bool Front::Unread(const Client& client) const {
   int bytes = 0;
   return ioctl(bufferevent_getfd(client.stream.get()), FIONREAD, &bytes) == 0 && bytes > 0;
 }
 
-bool HttpFront::Idle(const Client& client) const {
+bool Front::Idle(const Client& client) const {
   return client.serial == 0 && !client.reader.begun() &&
          evbuffer_get_length(bufferevent_get_input(client.stream.get())) == 0 &&
          evbuffer_get_length(bufferevent_get_output(client.stream.get())) == 0;
 }
 
-void HttpFront::OnRead(Client& client) {
+void Front::OnRead(Client& client) {
   const std::uint64_t number = client.number;
   while (clients_.contains(number) && Read(client)) {
   }
@@ -198,7 +198,7 @@
 
 // Reads up to the end of one request; whether to go on. One request is served at a time: what a client sends
 // ahead waits in the stream, and beyond its bound is not read.
-bool HttpFront::Read(Client& client) {
+bool Front::Read(Client& client) {
   evbuffer* input = bufferevent_get_input(client.stream.get());
   const std::size_t size = evbuffer_get_contiguous_space(input);
   if (size == 0) return false;
@@ -228,18 +228,18 @@
 }
 
 // The answer is all written; the last one ends the connection.
-void HttpFront::OnWritten(Client& client) {
+void Front::OnWritten(Client& client) {
   client.unread.Stop();
   if (client.closing) shutdown(bufferevent_getfd(client.stream.get()), SHUT_WR);
 }
 
-void HttpFront::Reply(Client& client, int status, const std::string& body, const std::string& headers) {
+void Front::Reply(Client& client, int status, const std::string& body, const std::string& headers) {
   client.last = client.last || draining_ || !client.reader.keeps();
   const std::string text =
       "HTTP/1.1 " + std::to_string(status) + " " + Phrase(status) +
       "\r\nContent-Type: application/octet-stream\r\nContent-Length: " + std::to_string(body.size()) +
       "\r\n" + headers + (client.last ? "Connection: close\r\n\r\n" : "\r\n") + body;
-  client.reader = HttpReader(HttpReader::Kind::kRequest);
+  client.reader = Reader(Reader::Kind::kRequest);
   client.told = false;
   client.since = core::Now();
   client.unfinished.Stop();
@@ -255,7 +255,7 @@
 
 // What cannot be taken is answered here and goes no further. Who sends such requests gets no more than a few
 // of them read in a second, so that a flood of them leaves time for usual clients.
-void HttpFront::TurnAway(Client& client, int status, const std::string& why) {
+void Front::TurnAway(Client& client, int status, const std::string& why) {
   const bool more = evbuffer_get_length(bufferevent_get_input(client.stream.get())) > 0;
   client.last = client.last || more || status == 408;
   Reply(client, status, why + "\n", status == 405 ? "Allow: GET, PUT\r\n" : "");
@@ -264,8 +264,8 @@
   client.pause.Start(kPause);
 }
 
-void HttpFront::OnRequest(Client& client) {
-  HttpReader& read = client.reader;
+void Front::OnRequest(Client& client) {
+  Reader& read = client.reader;
   if (read.uri() == "/-/ready") {
     if (read.method() != "GET") return TurnAway(client, 405, "it is asked by a GET");
     return Reply(client, ready_ ? 200 : 503, ready_ ? "ready\n" : "not yet\n");
@@ -277,7 +277,7 @@
     if (read.Count(name) > 1)
       return TurnAway(client, 400, std::string(name) + " stands there more than once");
   }
-  auto payload = std::make_shared<HttpRequest>();
+  auto payload = std::make_shared<Request>();
   payload->put = read.method() == "PUT";
   payload->uri = read.uri();
   if (const char* id = header("X-Request-Id")) payload->id = id;
@@ -304,13 +304,13 @@
   Held& held = held_[arrived.serial];
   held.client = client.number;
   const core::Serial serial = arrived.serial;
-  held.deadline = MakeTimer(base_, [this, serial] { post_(core::Expired{serial}); });
+  held.deadline = loop::MakeTimer(base_, [this, serial] { post_(core::Expired{serial}); });
   held.until = arrived.deadline + kDeadlineGuard;
   held.deadline.Start((end_ > 0 ? std::min(held.until, end_) : held.until) - core::Now());
   post_(std::move(arrived));
 }
 
-void HttpFront::Finish(const core::Answer& answer) {
+void Front::Finish(const core::Answer& answer) {
   const auto at = held_.find(answer.serial);
   if (at == held_.end()) return;  // the client has left
   Client& client = *clients_.at(at->second.client);
@@ -318,7 +318,7 @@
   held_.erase(at);
   switch (answer.verdict) {
     case core::Verdict::kServed: {
-      const std::string& body = static_cast<const HttpAnswer&>(*answer.payload).body;
+      const std::string& body = static_cast<const Answer&>(*answer.payload).body;
       if (Fits(body.size())) {
         Reply(client, 200, body);
       } else {
@@ -343,14 +343,14 @@
 }
 
 // Guards the memory: large answers wait for as long as clients are slow to read theirs.
-bool HttpFront::Fits(std::size_t size) const {
+bool Front::Fits(std::size_t size) const {
   if (size <= kUsualBody) return true;
   for (const auto& [number, c] : clients_)
     size += evbuffer_get_length(bufferevent_get_output(c->stream.get()));
   return size <= (static_cast<std::size_t>(config_.memory_mb) << 20) / kUnreadPart;
 }
 
-void HttpFront::End(Client& client) {
+void Front::End(Client& client) {
   const auto at = clients_.find(client.number);
   if (at == clients_.end()) return;
   const std::unique_ptr<Client> gone = std::move(at->second);
@@ -360,7 +360,7 @@
 
 // Guards against requests that the end of the program would find unanswered, and keeps idle connections until
 // then: a client that lost one now would find nobody to ask on a new one.
-void HttpFront::EndBy(Time end) {
+void Front::EndBy(Time end) {
   end_ = end;
   for (auto& [serial, held] : held_) {
     if (held.until > end) held.deadline.Start(end - core::Now());
@@ -368,7 +368,7 @@
   for (auto& [number, client] : clients_) client->idle.Stop();
 }
 
-void HttpFront::Drain() {
+void Front::Drain() {
   draining_ = true;
   std::vector<Client*> idle;
   for (const auto& [number, client] : clients_) {
@@ -377,4 +377,4 @@
   for (Client* client : idle) End(*client);
 }
 
-}  // namespace walnutspur::net
+}  // namespace walnutspur::http
--- a/src/net/http_front.h
+++ b/src/http/front.h
@@ -1,6 +1,6 @@
 // The platform's front: takes clients' requests by HTTP and answers each once.
-#ifndef WALNUTSPUR_NET_HTTP_FRONT_H_
-#define WALNUTSPUR_NET_HTTP_FRONT_H_
+#ifndef WALNUTSPUR_HTTP_FRONT_H_
+#define WALNUTSPUR_HTTP_FRONT_H_
 
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -11,22 +11,17 @@
 #include <unordered_map>
 
 #include "core/port.h"
-#include "net/config.h"
-#include "net/http_reader.h"
-#include "net/loop.h"
+#include "http/config.h"
+#include "http/reader.h"
+#include "loop/loop.h"
 
-namespace walnutspur::net {
+namespace walnutspur::http {
 
-// Numbers the requests of all fronts.
-struct Serials {
-  core::Serial next = 1;
-};
-
-class HttpFront : public core::Front {
+class Front : public core::Front {
  public:
   // Listens at the config's address; throws std::runtime_error if it cannot.
-  HttpFront(event_base* base, const Config& config, Serials* serials, core::Post post);
-  ~HttpFront() override;
+  Front(event_base* base, const Config& config, core::Serials* serials, core::Post post);
+  ~Front() override;
 
   void Finish(const core::Answer& answer) override;
   std::size_t held() const override { return held_.size(); }
@@ -44,8 +39,8 @@
  private:
   struct Client {
     std::uint64_t number = 0;
-    HttpFront* owner = nullptr;
-    HttpReader reader{HttpReader::Kind::kRequest};
+    Front* owner = nullptr;
+    Reader reader{Reader::Kind::kRequest};
     core::Serial serial = 0;  // the request that waits; 0: none
     Time since = 0;           // its last answer, or when it connected
     std::uint64_t asked = 0;  // whole requests that it has sent
@@ -53,17 +48,17 @@
     bool last = false;        // the answer to this request is the last on the connection
     bool closing = false;     // the last answer is written: what still comes is dropped
     std::size_t dropped = 0;
-    Watcher unfinished;  // a request that does not become whole
-    Watcher idle;        // no request
-    Watcher unread;      // an answer that the client does not read
-    Watcher pause;       // after a request that was turned away
-    Watcher linger;      // after the last answer
-    std::unique_ptr<bufferevent, Freed<bufferevent_free>> stream;
+    loop::Watcher unfinished;  // a request that does not become whole
+    loop::Watcher idle;        // no request
+    loop::Watcher unread;      // an answer that the client does not read
+    loop::Watcher pause;       // after a request that was turned away
+    loop::Watcher linger;      // after the last answer
+    std::unique_ptr<bufferevent, loop::Freed<bufferevent_free>> stream;
   };
   struct Held {
     std::uint64_t client = 0;
     Time until = 0;
-    Watcher deadline;
+    loop::Watcher deadline;
   };
 
   void OnAccept(evutil_socket_t fd);
@@ -82,19 +77,19 @@
 
   event_base* base_;
   const Config& config_;
-  Serials* serials_;
+  core::Serials* serials_;
   core::Post post_;
   bool ready_ = false, draining_ = false;
   Time end_ = 0;  // 0: none is in sight
   int port_ = 0;
   std::size_t most_;
   std::uint64_t next_ = 1;
-  Watcher resume_;
+  loop::Watcher resume_;
   std::unordered_map<std::uint64_t, std::unique_ptr<Client>> clients_;
   std::unordered_map<core::Serial, Held> held_;
-  std::unique_ptr<evconnlistener, Freed<evconnlistener_free>> listener_;
+  std::unique_ptr<evconnlistener, loop::Freed<evconnlistener_free>> listener_;
 };
 
-}  // namespace walnutspur::net
+}  // namespace walnutspur::http
 
-#endif  // WALNUTSPUR_NET_HTTP_FRONT_H_
+#endif  // WALNUTSPUR_HTTP_FRONT_H_
--- a/src/net/messages.cpp
+++ b/src/http/messages.cpp
@@ -1,4 +1,4 @@
-#include "net/messages.h"
+#include "http/messages.h"
 
 #include <algorithm>
 #include <charconv>
@@ -7,7 +7,7 @@
 #include <cstring>
 #include <string_view>
 
-namespace walnutspur::net {
+namespace walnutspur::http {
 namespace {
 
 using nlohmann::json;
@@ -54,7 +54,7 @@
 
 }  // namespace
 
-std::optional<std::string> ReadRequest(const Config& config, const HttpRequest& request, const Header& header,
+std::optional<std::string> ReadRequest(const Config& config, const Request& request, const Header& header,
                                        core::Arrived* arrived, Time* patience) {
   walnutspur::Arrival& what = arrived->what;
   if (!IsHex16(request.id)) return "X-Request-Id is not 16 hex digits";
@@ -153,4 +153,4 @@
   return text;
 }
 
-}  // namespace walnutspur::net
+}  // namespace walnutspur::http
--- a/src/net/messages.h
+++ b/src/http/messages.h
@@ -1,6 +1,6 @@
 // What the platform's HTTP says, read and checked; no sockets.
-#ifndef WALNUTSPUR_NET_MESSAGES_H_
-#define WALNUTSPUR_NET_MESSAGES_H_
+#ifndef WALNUTSPUR_HTTP_MESSAGES_H_
+#define WALNUTSPUR_HTTP_MESSAGES_H_
 
 #include <functional>
 #include <optional>
@@ -8,23 +8,23 @@
 #include <vector>
 
 #include "core/engine.h"
-#include "net/config.h"
+#include "http/config.h"
 
-namespace walnutspur::net {
+namespace walnutspur::http {
 
 // A request as it came: passes on to a target byte for byte.
-struct HttpRequest : core::Payload {
+struct Request : core::Payload {
   bool put = false;
   std::string uri, id, body;
 };
-struct HttpAnswer : core::Payload {
+struct Answer : core::Payload {
   std::string body;
 };
 
 using Header = std::function<const char*(const char*)>;  // the value of a header, or null
 
 // Reads what the decisions need. Returns what is wrong, if anything is.
-std::optional<std::string> ReadRequest(const Config& config, const HttpRequest& request, const Header& header,
+std::optional<std::string> ReadRequest(const Config& config, const Request& request, const Header& header,
                                        core::Arrived* arrived, Time* patience);
 
 // The outcome that a target's whole answer stands for.
@@ -43,6 +43,6 @@
 
 std::string Seconds(Time time);  // as decimals
 
-}  // namespace walnutspur::net
+}  // namespace walnutspur::http
 
-#endif  // WALNUTSPUR_NET_MESSAGES_H_
+#endif  // WALNUTSPUR_HTTP_MESSAGES_H_
--- a/src/net/http_reader.cpp
+++ b/src/http/reader.cpp
@@ -1,9 +1,9 @@
-#include "net/http_reader.h"
+#include "http/reader.h"
 
 #include <algorithm>
 #include <charconv>
 
-namespace walnutspur::net {
+namespace walnutspur::http {
 namespace {
 
 constexpr std::size_t kMostLines = 16 * 1024;  // of head, chunk sizes and trailers together
@@ -50,7 +50,7 @@
 
 }  // namespace
 
-std::size_t HttpReader::Feed(std::string_view bytes) {
+std::size_t Reader::Feed(std::string_view bytes) {
   const std::size_t size = bytes.size();
   while (!bytes.empty() && !whole() && !spoilt()) {
     if (state_ == State::kBody || state_ == State::kData) {
@@ -81,7 +81,7 @@
   return size - bytes.size();
 }
 
-void HttpReader::OnLine(std::string_view line) {
+void Reader::OnLine(std::string_view line) {
   if (std::any_of(line.begin(), line.end(), IsControl)) return Spoil(400, "a control character in a line");
   switch (state_) {
     case State::kStart:
@@ -102,7 +102,7 @@
   }
 }
 
-void HttpReader::OnStart(std::string_view line) {
+void Reader::OnStart(std::string_view line) {
   if (kind_ == Kind::kRequest) {
     if (line.empty()) return;  // some senders end a body with an empty line of their own
     const std::size_t first = line.find(' '), last = line.rfind(' ');
@@ -126,27 +126,27 @@
   state_ = State::kFields;
 }
 
-void HttpReader::OnField(std::string_view line) {
+void Reader::OnField(std::string_view line) {
   const std::size_t colon = line.find(':');
   if (colon == line.npos || !IsToken(line.substr(0, colon))) return Spoil(400, "a header without a name");
   fields_.emplace_back(line.substr(0, colon), Trim(line.substr(colon + 1)));
 }
 
-const char* HttpReader::Find(std::string_view name) const {
+const char* Reader::Find(std::string_view name) const {
   for (const auto& [known, value] : fields_) {
     if (Same(known, name)) return value.c_str();
   }
   return nullptr;
 }
 
-std::size_t HttpReader::Count(std::string_view name) const {
+std::size_t Reader::Count(std::string_view name) const {
   return static_cast<std::size_t>(std::count_if(fields_.begin(), fields_.end(),
                                                 [&](const auto& field) { return Same(field.first, name); }));
 }
 
 // Says how the body is framed. Guards against a message within a message: whoever reads the length otherwise
 // takes a part of the body for a message of its own.
-void HttpReader::OnHead() {
+void Reader::OnHead() {
   if (kind_ == Kind::kAnswer && code_ < 200) {  // an answer that another follows; nobody asked to switch
     if (code_ == 101) return Spoil(502, "another protocol");
     fields_.clear();
@@ -178,13 +178,13 @@
   continues_ = expects && Same(expects, "100-continue") && state_ != State::kWhole;
 }
 
-void HttpReader::OnSize(std::string_view line) {
+void Reader::OnSize(std::string_view line) {
   if (!ReadNumber(Trim(line.substr(0, line.find(';'))), 16, &left_)) return Spoil(400, "no size of a chunk");
   if (left_ > most_ - body_.size()) return Spoil(413, "the body is too long");
   state_ = left_ > 0 ? State::kData : State::kTrailer;
 }
 
-void HttpReader::Spoil(int status, std::string why) {
+void Reader::Spoil(int status, std::string why) {
   state_ = State::kSpoilt;
   left_ = 0;
   status_ = status;
@@ -192,4 +192,4 @@
   keeps_ = false;
 }
 
-}  // namespace walnutspur::net
+}  // namespace walnutspur::http
--- a/src/net/http_reader.h
+++ b/src/http/reader.h
@@ -3,8 +3,8 @@
 // It is strict, because the next message begins where this one is taken to end: what leaves the length in
 // doubt (Content-Length twice, or beside Transfer-Encoding, or not plain digits) spoils the message and with
 // it the connection. It keeps no more than the limits allow, whatever a message claims.
-#ifndef WALNUTSPUR_NET_HTTP_READER_H_
-#define WALNUTSPUR_NET_HTTP_READER_H_
+#ifndef WALNUTSPUR_HTTP_READER_H_
+#define WALNUTSPUR_HTTP_READER_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -13,13 +13,13 @@
 #include <utility>
 #include <vector>
 
-namespace walnutspur::net {
+namespace walnutspur::http {
 
-class HttpReader {
+class Reader {
  public:
   enum class Kind { kRequest, kAnswer };
   // `most` bounds the body: 64 KiB, as the protocol has it for requests; answers of targets go beyond it.
-  explicit HttpReader(Kind kind, std::size_t most = 64 << 10) : kind_(kind), most_(most) {}
+  explicit Reader(Kind kind, std::size_t most = 64 << 10) : kind_(kind), most_(most) {}
 
   // Takes bytes up to the end of the message at most; returns how many it took. The rest is not its own.
   std::size_t Feed(std::string_view bytes);
@@ -70,6 +70,6 @@
   std::string why_;
 };
 
-}  // namespace walnutspur::net
+}  // namespace walnutspur::http
 
-#endif  // WALNUTSPUR_NET_HTTP_READER_H_
+#endif  // WALNUTSPUR_HTTP_READER_H_
--- a/src/net/http_targets.cpp
+++ b/src/http/targets.cpp
@@ -1,4 +1,4 @@
-#include "net/http_targets.h"
+#include "http/targets.h"
 
 #include <event2/buffer.h>
 #include <netinet/tcp.h>
@@ -8,7 +8,7 @@
 
 #include "core/owner.h"
 
-namespace walnutspur::net {
+namespace walnutspur::http {
 namespace {
 
 constexpr double kTargetPart = 0.35;          // of the descriptors
@@ -18,7 +18,7 @@
 constexpr std::size_t kUsual = 64 << 10;      // bytes of a body that the protocol names
 constexpr std::size_t kMemoryPart = 8;  // of the memory one part is for bodies beyond that, all together
 
-std::string Wording(const HttpRequest* request, const std::string& host, Time limit) {
+std::string Wording(const Request* request, const std::string& host, Time limit) {
   if (!request) return "GET /-/healthy HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
   std::string text = (request->put ? "PUT " : "GET ") + request->uri + " HTTP/1.1\r\nHost: " + host +
                      "\r\nX-Request-Id: " + request->id + "\r\nX-Deadline: " + Seconds(limit) + "\r\n";
@@ -28,29 +28,29 @@
 
 }  // namespace
 
-HttpTargets::HttpTargets(event_base* base, const Config& config, core::Post post)
+Targets::Targets(event_base* base, const Config& config, core::Post post)
     : base_(base),
       config_(config),
       post_(std::move(post)),
       most_(static_cast<std::size_t>(config.sockets * kTargetPart)),
       most_bytes_((static_cast<std::size_t>(config.memory_mb) << 20) / kMemoryPart),
-      sweep_(MakeTimer(base, [this] { discarded_.clear(); })) {}
+      sweep_(loop::MakeTimer(base, [this] { discarded_.clear(); })) {}
 
-HttpTargets::~HttpTargets() = default;
+Targets::~Targets() = default;
 
-void HttpTargets::Learn(const TargetId& target, const std::string& address) {
+void Targets::Learn(const TargetId& target, const std::string& address) {
   std::string& known = addresses_[target];
   if (known == address) return;
   known = address;
   CloseIdle(target);
 }
 
-void HttpTargets::Forget(const TargetId& target) {
+void Targets::Forget(const TargetId& target) {
   addresses_.erase(target);
   CloseIdle(target);
 }
 
-void HttpTargets::KeepOnly(const std::set<TargetId>& targets) {
+void Targets::KeepOnly(const std::set<TargetId>& targets) {
   std::vector<TargetId> gone;
   for (const auto& [target, address] : addresses_) {
     if (!targets.contains(target)) gone.push_back(target);
@@ -58,7 +58,7 @@
   for (const TargetId& target : gone) Forget(target);
 }
 
-void HttpTargets::CloseIdle(const TargetId& target) {
+void Targets::CloseIdle(const TargetId& target) {
   const auto at = idle_.find(target);
   if (at == idle_.end()) return;
   const auto idle = std::move(at->second);
@@ -66,18 +66,18 @@
   for (Connection* connection : idle) Discard(*connection);
 }
 
-void HttpTargets::Start(const core::Attempt& attempt) {
+void Targets::Start(const core::Attempt& attempt) {
   Launch({attempt.serial, attempt.trial}, attempt.target, attempt.limit,
-         static_cast<const HttpRequest*>(attempt.payload.get()));
+         static_cast<const Request*>(attempt.payload.get()));
 }
 
-void HttpTargets::Probe(const TargetId& target) {
+void Targets::Probe(const TargetId& target) {
   Launch({0, static_cast<int>(++probes_)}, target, kProbeWait, nullptr);
 }
 
 // An idle connection on which something has come, be it the end, is none to send on: what came would be taken
 // for the answer to the next request, and a request that meets the end may have run for all one can tell.
-HttpTargets::Connection* HttpTargets::TakeIdle(const TargetId& target) {
+Targets::Connection* Targets::TakeIdle(const TargetId& target) {
   while (true) {
     const auto at = idle_.find(target);
     if (at == idle_.end()) return nullptr;
@@ -95,19 +95,19 @@
 }
 
 // Descriptors are bounded: an idle connection to another target makes room for a new one.
-bool HttpTargets::MakeRoom() {
+bool Targets::MakeRoom() {
   if (connections_.size() < most_) return true;
   if (idle_.empty()) return false;
   Discard(*idle_.begin()->second.front());
   return true;
 }
 
-HttpTargets::Connection* HttpTargets::Open(const TargetId& target) {
+Targets::Connection* Targets::Open(const TargetId& target) {
   const auto known = addresses_.find(target);
   if (known == addresses_.end() || known->second.empty() || !MakeRoom()) return nullptr;
   sockaddr_in address{};
   try {
-    address = ToSocket(ParseAddress(known->second));
+    address = loop::ToSocket(loop::ParseAddress(known->second));
   } catch (const std::exception&) {
     return nullptr;  // discovery named no address that can be reached
   }
@@ -143,9 +143,9 @@
     const auto at = connections_.find(number);
     if (at != connections_.end()) Break(*at->second, outcome);
   };
-  c->connect = MakeTimer(base_, [breaks] { breaks(Outcome::kRefusedConn); });
-  c->limit = MakeTimer(base_, [breaks] { breaks(Outcome::kOverdue); });
-  c->idle = MakeTimer(base_, [this, number] {
+  c->connect = loop::MakeTimer(base_, [breaks] { breaks(Outcome::kRefusedConn); });
+  c->limit = loop::MakeTimer(base_, [breaks] { breaks(Outcome::kOverdue); });
+  c->idle = loop::MakeTimer(base_, [this, number] {
     const auto at = connections_.find(number);
     if (at != connections_.end()) Discard(*at->second);
   });
@@ -159,7 +159,7 @@
   return c;
 }
 
-void HttpTargets::Launch(const Key& key, const TargetId& target, Time limit, const HttpRequest* request) {
+void Targets::Launch(const Key& key, const TargetId& target, Time limit, const Request* request) {
   Connection* c = TakeIdle(target);
   if (!c) c = Open(target);
   if (!c) {  // no address or no descriptor: never sent
@@ -172,7 +172,7 @@
   }
   c->attempt = key;
   c->sent = core::Now();
-  c->answer = HttpReader(HttpReader::Kind::kAnswer, kMostAnswer);
+  c->answer = Reader(Reader::Kind::kAnswer, kMostAnswer);
   attempts_[key] = c;
   if (!c->connected) c->connect.Start(config_.dial);
   c->limit.Start(limit);
@@ -182,13 +182,13 @@
 
 // Whether the attempt's last byte has left: only then may it have run. Until the connection is up all of it
 // waits in the output.
-bool HttpTargets::Written(const Connection& c) const {
+bool Targets::Written(const Connection& c) const {
   return evbuffer_get_length(bufferevent_get_output(c.stream.get())) == 0;
 }
 
 // Guards the memory: answers go beyond the 64 KiB that the protocol names, and all targets may send such at
 // once.
-bool HttpTargets::Fits() const {
+bool Targets::Fits() const {
   std::size_t bytes = 0;
   for (const auto& [key, connection] : attempts_) {
     const std::size_t claimed = connection->answer.claimed();
@@ -197,7 +197,7 @@
   return bytes <= most_bytes_;
 }
 
-void HttpTargets::OnRead(Connection& c) {
+void Targets::OnRead(Connection& c) {
   // Nothing was asked: it would be taken for the answer to the next request.
   if (!c.attempt) return Discard(c);
   evbuffer* input = bufferevent_get_input(c.stream.get());
@@ -214,13 +214,13 @@
   OnAnswer(c);
 }
 
-void HttpTargets::OnAnswer(Connection& c) {
+void Targets::OnAnswer(Connection& c) {
   const Header header = [&c](const char* name) { return c.answer.Find(name); };
   core::Ended ended;
   ended.outcome = OutcomeOf(c.answer.code(), header);
   ReadTold(config_.settings.report_fields, header, &ended);
   if (ended.outcome == Outcome::kCompleted) {
-    auto payload = std::make_shared<HttpAnswer>();
+    auto payload = std::make_shared<Answer>();
     payload->body = std::move(c.answer.body());
     ended.payload = std::move(payload);
   }
@@ -233,7 +233,7 @@
 }
 
 // The attempt ends without an answer. What never left whole never ran, whatever ended it.
-void HttpTargets::Break(Connection& c, Outcome outcome) {
+void Targets::Break(Connection& c, Outcome outcome) {
   if (!c.attempt) return;
   core::Ended ended;
   if (outcome != Outcome::kRecalled && !Written(c)) outcome = Outcome::kRefusedConn;
@@ -244,7 +244,7 @@
   Discard(c);
 }
 
-void HttpTargets::Report(Connection& c, core::Ended ended) {
+void Targets::Report(Connection& c, core::Ended ended) {
   const Key key = *c.attempt;
   c.attempt.reset();
   c.connect.Stop();
@@ -258,7 +258,7 @@
 }
 
 // Closes a connection, but not inside of a callback of its own.
-void HttpTargets::Discard(Connection& c) {
+void Targets::Discard(Connection& c) {
   const auto at = connections_.find(c.number);
   if (at == connections_.end()) return;
   c.connect.Stop();
@@ -276,13 +276,13 @@
   sweep_.Start(0);
 }
 
-void HttpTargets::Stop(core::Serial serial, int trial) {
+void Targets::Stop(core::Serial serial, int trial) {
   const auto at = attempts_.find({serial, trial});
   if (at != attempts_.end()) Break(*at->second, Outcome::kRecalled);
 }
 
 // Guards the rule on drains: an attempt whose connection is still coming up would reach the target later.
-void HttpTargets::Withdraw(const TargetId& target) {
+void Targets::Withdraw(const TargetId& target) {
   std::vector<Connection*> unsent;
   for (const auto& [key, connection] : attempts_) {
     if (connection->target == target && !Written(*connection)) unsent.push_back(connection);
@@ -291,4 +291,4 @@
   CloseIdle(target);
 }
 
-}  // namespace walnutspur::net
+}  // namespace walnutspur::http
--- a/src/net/http_targets.h
+++ b/src/http/targets.h
@@ -1,6 +1,6 @@
 // Carries out attempts by HTTP: a pool of connections to targets, one attempt at a time on each.
-#ifndef WALNUTSPUR_NET_HTTP_TARGETS_H_
-#define WALNUTSPUR_NET_HTTP_TARGETS_H_
+#ifndef WALNUTSPUR_HTTP_TARGETS_H_
+#define WALNUTSPUR_HTTP_TARGETS_H_
 
 #include <event2/bufferevent.h>
 
@@ -13,17 +13,17 @@
 #include <vector>
 
 #include "core/port.h"
-#include "net/config.h"
-#include "net/http_reader.h"
-#include "net/loop.h"
-#include "net/messages.h"
+#include "http/config.h"
+#include "http/messages.h"
+#include "http/reader.h"
+#include "loop/loop.h"
 
-namespace walnutspur::net {
+namespace walnutspur::http {
 
-class HttpTargets : public core::Connector {
+class Targets : public core::Connector {
  public:
-  HttpTargets(event_base* base, const Config& config, core::Post post);
-  ~HttpTargets() override;
+  Targets(event_base* base, const Config& config, core::Post post);
+  ~Targets() override;
 
   // Where a target listens; it may move.
   void Learn(const TargetId& target, const std::string& address);
@@ -44,21 +44,21 @@
   using Key = std::pair<core::Serial, int>;  // an attempt; serial 0: a probe
 
   struct Connection {
-    HttpTargets* owner = nullptr;
+    Targets* owner = nullptr;
     std::uint64_t number = 0;
     TargetId target;
     std::optional<Key> attempt;
     Time sent = 0;
     bool connected = false;  // it has come up
-    HttpReader answer{HttpReader::Kind::kAnswer};
-    Watcher connect, limit, idle;
-    std::unique_ptr<bufferevent, Freed<bufferevent_free>> stream;
+    Reader answer{Reader::Kind::kAnswer};
+    loop::Watcher connect, limit, idle;
+    std::unique_ptr<bufferevent, loop::Freed<bufferevent_free>> stream;
   };
 
   Connection* Open(const TargetId& target);
   Connection* TakeIdle(const TargetId& target);
   bool MakeRoom();
-  void Launch(const Key& key, const TargetId& target, Time limit, const HttpRequest* request);
+  void Launch(const Key& key, const TargetId& target, Time limit, const Request* request);
   bool Fits() const;
   bool Written(const Connection& connection) const;
   void OnRead(Connection& connection);
@@ -79,9 +79,9 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
   std::map<Key, Connection*> attempts_;
   std::vector<std::unique_ptr<Connection>> discarded_;  // freed outside of their own callbacks
-  Watcher sweep_;
+  loop::Watcher sweep_;
 };
 
-}  // namespace walnutspur::net
+}  // namespace walnutspur::http
 
-#endif  // WALNUTSPUR_NET_HTTP_TARGETS_H_
+#endif  // WALNUTSPUR_HTTP_TARGETS_H_
--- a/src/net/address.cpp
+++ b/src/loop/address.cpp
@@ -1,11 +1,11 @@
-#include "net/address.h"
+#include "loop/address.h"
 
 #include <arpa/inet.h>
 
 #include <charconv>
 #include <stdexcept>
 
-namespace walnutspur::net {
+namespace walnutspur::loop {
 
 Address ParseAddress(const std::string& text) {
   const std::size_t colon = text.rfind(':');
@@ -28,4 +28,4 @@
   return socket;
 }
 
-}  // namespace walnutspur::net
+}  // namespace walnutspur::loop
--- a/src/net/address.h
+++ b/src/loop/address.h
@@ -1,13 +1,13 @@
 // Numeric addresses: there is no DNS.
-#ifndef WALNUTSPUR_NET_ADDRESS_H_
-#define WALNUTSPUR_NET_ADDRESS_H_
+#ifndef WALNUTSPUR_LOOP_ADDRESS_H_
+#define WALNUTSPUR_LOOP_ADDRESS_H_
 
 #include <netinet/in.h>
 
 #include <cstdint>
 #include <string>
 
-namespace walnutspur::net {
+namespace walnutspur::loop {
 
 struct Address {
   std::string host;
@@ -17,6 +17,6 @@
 Address ParseAddress(const std::string& text);  // throws std::runtime_error
 sockaddr_in ToSocket(const Address& address);   // likewise
 
-}  // namespace walnutspur::net
+}  // namespace walnutspur::loop
 
-#endif  // WALNUTSPUR_NET_ADDRESS_H_
+#endif  // WALNUTSPUR_LOOP_ADDRESS_H_
--- a/src/net/loop.h
+++ b/src/loop/loop.h
@@ -1,6 +1,6 @@
 // RAII over libevent: the loop, and one timer for each wait.
-#ifndef WALNUTSPUR_NET_LOOP_H_
-#define WALNUTSPUR_NET_LOOP_H_
+#ifndef WALNUTSPUR_LOOP_LOOP_H_
+#define WALNUTSPUR_LOOP_LOOP_H_
 
 #include <event2/event.h>
 #include <event2/http.h>
@@ -12,7 +12,7 @@
 
 #include "core/engine.h"
 
-namespace walnutspur::net {
+namespace walnutspur::loop {
 
 template <auto Free>
 struct Freed {
@@ -62,6 +62,6 @@
   return Watcher(base, -1, 0, std::move(call));
 }
 
-}  // namespace walnutspur::net
+}  // namespace walnutspur::loop
 
-#endif  // WALNUTSPUR_NET_LOOP_H_
+#endif  // WALNUTSPUR_LOOP_LOOP_H_
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,7 +4,8 @@
 #include <cstdlib>
 #include <exception>
 
-#include "net/initiator.h"
+#include "app/initiator.h"
+#include "app/platform.h"
 
 int main(int argc, char** argv) {
   try {
@@ -15,9 +16,9 @@
     pthread_sigmask(SIG_BLOCK, &hangup, nullptr);
     const char* path = std::getenv("BALANCER_CONFIG");
     if (!path) throw std::runtime_error("BALANCER_CONFIG names no file");
-    const auto options = walnutspur::net::ParseOptions({argv + 1, argv + argc});
-    walnutspur::net::Initiator initiator(walnutspur::net::LoadConfig(path), options);
-    initiator.ReloadBy([path] { return walnutspur::net::LoadConfig(path); });
+    const auto options = walnutspur::app::ParseOptions({argv + 1, argv + argc});
+    walnutspur::app::Initiator initiator(walnutspur::app::LoadConfig(path), options);
+    initiator.ReloadBy([path] { return walnutspur::app::LoadConfig(path); });
     initiator.Run();
     return 0;
   } catch (const std::exception& error) {
--- a/src/nbd/boxes.cpp
+++ b/src/nbd/boxes.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 
 #include "core/owner.h"
-#include "net/address.h"
+#include "loop/address.h"
 
 namespace walnutspur::nbd {
 namespace {
@@ -51,8 +51,8 @@
   if (!c->stream) return nullptr;
   // Covers the connection and the whole handshake: it is shorter than the grace of a drain, so nothing that
   // waited for either reaches a box that has begun to drain too late.
-  c->connect = net::MakeTimer(base_, [c] { c->owner->Break(*c); });
-  c->idle = net::MakeTimer(base_, [c] { c->owner->Break(*c); });
+  c->connect = loop::MakeTimer(base_, [c] { c->owner->Break(*c); });
+  c->idle = loop::MakeTimer(base_, [c] { c->owner->Break(*c); });
   bufferevent_setcb(
       c->stream.get(),
       [](bufferevent*, void* arg) {
@@ -70,7 +70,7 @@
       },
       c);
   bufferevent_enable(c->stream.get(), EV_READ | EV_WRITE);
-  sockaddr_in address = net::ToSocket(net::ParseAddress(box->address));
+  sockaddr_in address = loop::ToSocket(loop::ParseAddress(box->address));
   connections_[c->number] = std::move(connection);
   c->connect.Start(config_.dial);
   if (bufferevent_socket_connect(c->stream.get(), reinterpret_cast<sockaddr*>(&address), sizeof address) !=
@@ -91,7 +91,7 @@
   if (!c) c = Open(place);
   if (!c) return Report(key, Outcome::kRefusedConn);
   out.connection = c;
-  out.limit = net::MakeTimer(base_, [this, key] { GiveUp(key, Outcome::kOverdue); });
+  out.limit = loop::MakeTimer(base_, [this, key] { GiveUp(key, Outcome::kOverdue); });
   out.limit.Start(attempt.limit);
   c->idle.Stop();
   if (c->session.ready()) {
--- a/src/nbd/boxes.h
+++ b/src/nbd/boxes.h
@@ -11,11 +11,11 @@
 #include <vector>
 
 #include "core/port.h"
+#include "loop/loop.h"
 #include "nbd/codec.h"
 #include "nbd/config.h"
 #include "nbd/front.h"
 #include "nbd/payload.h"
-#include "net/loop.h"
 
 namespace walnutspur::nbd {
 
@@ -45,7 +45,7 @@
     std::vector<std::pair<std::uint64_t, std::uint64_t>> unsent;  // cookie, end in the bytes written so far
     std::uint64_t queued = 0;  // bytes handed to the stream since the start
     bool retired = false;      // takes no new command
-    net::Watcher connect, idle;
+    loop::Watcher connect, idle;
     StreamRef stream;
   };
   struct Out {
@@ -53,7 +53,7 @@
     Connection* connection = nullptr;
     std::uint64_t cookie = 0;  // 0: waits for the handshake
     Time sent = 0;
-    net::Watcher limit;
+    loop::Watcher limit;
   };
 
   Connection* Find(const Place& place);
--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -12,8 +12,8 @@
 #include <vector>
 
 #include "core/owner.h"
+#include "loop/address.h"
 #include "nbd/payload.h"
-#include "net/address.h"
 
 namespace walnutspur::nbd {
 namespace {
@@ -46,18 +46,18 @@
 }
 
 Front::Front(event_base* base, const Config& config, const Settings& settings, std::size_t most,
-             std::function<core::Serial()> next_serial, core::Post post)
+             core::Serials* serials, core::Post post)
     : base_(base),
       config_(config),
       settings_(settings),
       most_(most),
-      next_serial_(std::move(next_serial)),
+      serials_(serials),
       post_(std::move(post)),
-      resume_(net::MakeTimer(base, [this] {
+      resume_(loop::MakeTimer(base, [this] {
         if (clients_.size() >= most_ && !MakeRoom()) return Pause();
         evconnlistener_enable(listener_.get());
       })) {
-  sockaddr_in address = net::ToSocket(net::ParseAddress(config.listen));
+  sockaddr_in address = loop::ToSocket(loop::ParseAddress(config.listen));
   listener_.reset(evconnlistener_new_bind(
       base,
       [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
@@ -96,10 +96,10 @@
   setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);  // devices on poor links vanish without a word
   Client* c = client.get();
   // A handshake that stalls, at whatever byte, ends with this timer and leaves nothing behind.
-  c->handshake = net::MakeTimer(base_, [c] { c->owner->End(*c); });
+  c->handshake = loop::MakeTimer(base_, [c] { c->owner->End(*c); });
   c->handshake.Start(config_.handshake);
   // So does a command: a client that stops inside of one would be waited for as long as it likes.
-  c->unfinished = net::MakeTimer(base_, [c] { c->owner->End(*c); });
+  c->unfinished = loop::MakeTimer(base_, [c] { c->owner->End(*c); });
   bufferevent_setcb(
       c->stream.get(),
       [](bufferevent*, void* arg) {
@@ -193,7 +193,7 @@
     return refuse(kInvalid, "a flush has no range");
   }
   core::Arrived arrived;
-  arrived.serial = next_serial_();
+  arrived.serial = serials_->next++;
   arrived.wire = core::Wire::kNbd;
   arrived.what.request_class = cls->second;
   arrived.what.plan = volume.plan;
@@ -213,7 +213,7 @@
   Held& held = held_[serial];
   held.client = client.number;
   held.cookie = cookie;
-  held.deadline = net::MakeTimer(base_, [this, serial] { post_(core::Expired{serial}); });
+  held.deadline = loop::MakeTimer(base_, [this, serial] { post_(core::Expired{serial}); });
   held.until = arrived.deadline + kDeadlineGuard;
   held.deadline.Start((end_ > 0 ? std::min(held.until, end_) : held.until) - core::Now());
   post_(std::move(arrived));
--- a/src/nbd/front.h
+++ b/src/nbd/front.h
@@ -13,19 +13,19 @@
 #include <unordered_map>
 
 #include "core/port.h"
+#include "loop/loop.h"
 #include "nbd/codec.h"
 #include "nbd/config.h"
-#include "net/loop.h"
 
 namespace walnutspur::nbd {
 
-using StreamRef = std::unique_ptr<bufferevent, net::Freed<bufferevent_free>>;
+using StreamRef = std::unique_ptr<bufferevent, loop::Freed<bufferevent_free>>;
 
 class Front : public core::Front {
  public:
   // `most` bounds the clients. Throws std::runtime_error if it cannot listen.
   Front(event_base* base, const Config& config, const Settings& settings, std::size_t most,
-        std::function<core::Serial()> next_serial, core::Post post);
+        core::Serials* serials, core::Post post);
   ~Front() override;
 
   void Finish(const core::Answer& answer) override;
@@ -47,16 +47,16 @@
     std::map<std::uint64_t, core::Serial> in_flight;  // by the client's cookie
     bool asked = false;                               // it has sent a command
     Time since = 0;                                   // when it connected
-    net::Watcher handshake;
-    bool waiting = false;     // for the rest of a command
-    net::Watcher unfinished;  // a command that does not become whole
+    loop::Watcher handshake;
+    bool waiting = false;      // for the rest of a command
+    loop::Watcher unfinished;  // a command that does not become whole
     StreamRef stream;
   };
   struct Held {
     std::uint64_t client = 0;
     std::uint64_t cookie = 0;
     Time until = 0;
-    net::Watcher deadline;
+    loop::Watcher deadline;
   };
 
   void OnAccept(evutil_socket_t fd);
@@ -72,7 +72,7 @@
   const Config& config_;
   const Settings& settings_;
   std::size_t most_;
-  std::function<core::Serial()> next_serial_;
+  core::Serials* serials_;
   core::Post post_;
   bool draining_ = false;
   Time end_ = 0;  // 0: none is in sight
@@ -80,8 +80,8 @@
   std::uint64_t next_client_ = 1;
   std::unordered_map<std::uint64_t, std::unique_ptr<Client>> clients_;
   std::unordered_map<core::Serial, Held> held_;
-  net::Watcher resume_;
-  std::unique_ptr<evconnlistener, net::Freed<evconnlistener_free>> listener_;
+  loop::Watcher resume_;
+  std::unique_ptr<evconnlistener, loop::Freed<evconnlistener_free>> listener_;
 };
 
 // The one table from the engine's verdicts to NBD errors; docs/architecture.md shows it.
--- a/src/pcap/traffic.cpp
+++ b/src/pcap/traffic.cpp
@@ -62,10 +62,10 @@
 
 Player::Player(event_base* base, const std::vector<Stream>& streams, const AddressOf& address_of, Time quiet,
                std::function<void()> done)
-    : base_(base), quiet_(quiet), step_(net::MakeTimer(base, [this] { Next(); })), done_(std::move(done)) {
+    : base_(base), quiet_(quiet), step_(loop::MakeTimer(base, [this] { Next(); })), done_(std::move(done)) {
   for (const Stream& stream : streams) {
     Result& result = results_.emplace_back();
-    const net::Address address = address_of(stream);
+    const loop::Address address = address_of(stream);
     if (address.port == 0 || stream.to_server.bytes().empty()) continue;
     result.sent = stream.to_server.bytes();
     result.gap = stream.to_server.gap();
@@ -99,7 +99,7 @@
     p->owner->step_.Start(0);
   };
   p->end = end;
-  p->quiet = net::MakeTimer(base_, end);
+  p->quiet = loop::MakeTimer(base_, end);
   p->stream.reset(bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
   bufferevent_setcb(
       p->stream.get(),
@@ -119,7 +119,7 @@
   bufferevent_enable(p->stream.get(), EV_READ | EV_WRITE);
   const std::string& sent = results_[p->number].sent;
   bufferevent_write(p->stream.get(), sent.data(), sent.size());
-  sockaddr_in address = net::ToSocket(p->address);
+  sockaddr_in address = loop::ToSocket(p->address);
   p->quiet.Start(quiet_);
   if (bufferevent_socket_connect(p->stream.get(), reinterpret_cast<sockaddr*>(&address), sizeof address) != 0)
     p->quiet.Start(0);
--- a/src/pcap/traffic.h
+++ b/src/pcap/traffic.h
@@ -11,8 +11,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "net/address.h"
-#include "net/loop.h"
+#include "loop/address.h"
+#include "loop/loop.h"
 #include "pcap/capture.h"
 
 struct evbuffer;
@@ -48,7 +48,7 @@
     bool gap = false;  // the stream ends at a gap in the file
   };
   // Where a stream is played to; port 0: nowhere.
-  using AddressOf = std::function<net::Address(const Stream&)>;
+  using AddressOf = std::function<loop::Address(const Stream&)>;
   // `quiet` is how long a stream may bring nothing before it is taken to be answered. `done` is called on the
   // loop once all are played.
   Player(event_base* base, const std::vector<Stream>& streams, const AddressOf& address_of, Time quiet,
@@ -60,11 +60,11 @@
   struct Play {
     Player* owner = nullptr;
     std::size_t number = 0;
-    net::Address address;
+    loop::Address address;
     bool ended = false;
     std::function<void()> end;
-    net::Watcher quiet;
-    std::unique_ptr<bufferevent, net::Freed<bufferevent_free>> stream;
+    loop::Watcher quiet;
+    std::unique_ptr<bufferevent, loop::Freed<bufferevent_free>> stream;
   };
   void Start(Play& play);
   void Next();
@@ -74,7 +74,7 @@
   std::vector<Result> results_;
   std::vector<std::unique_ptr<Play>> plays_;
   std::size_t open_ = 0, next_ = 0;
-  net::Watcher step_;
+  loop::Watcher step_;
   std::function<void()> done_;
 };
 
--- a/tests/net/garble_test.cpp
+++ b/tests/net/garble_test.cpp
@@ -1,14 +1,14 @@
 // Boxes whose answers cannot be read, or bring more than is theirs.
 #include <doctest/doctest.h>
 
-#include "net/http_reader.h"
+#include "http/reader.h"
 #include "stage.h"
 
 namespace walnutspur::test {
 namespace {
 
 using core::Wire;
-using net::HttpReader;
+using http::Reader;
 
 TEST_CASE("a spoilt answer may have run: a write fails and is never sent again, a read goes again") {
   const char* kSpoilt[] = {
@@ -126,7 +126,7 @@
       "PUT /x HTTP/1.1\r\nHost: s\r\nConnection: x, Close\r\nTransfer-Encoding: "
       "chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
   for (std::size_t step = 1; step < text.size(); ++step) {
-    HttpReader reader(HttpReader::Kind::kRequest);
+    Reader reader(Reader::Kind::kRequest);
     for (std::size_t at = 0; at < text.size(); at += step) {
       const std::string part = text.substr(at, step);
       REQUIRE(reader.Feed(part) == part.size());
@@ -135,9 +135,9 @@
     CHECK(reader.body() == "hello");
     CHECK_FALSE(reader.keeps());
   }
-  HttpReader next(HttpReader::Kind::kAnswer);
+  Reader next(Reader::Kind::kAnswer);
   CHECK(next.Feed("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nabc") == 39);  // the rest is not its own
-  HttpReader huge(HttpReader::Kind::kAnswer);
+  Reader huge(Reader::Kind::kAnswer);
   huge.Feed("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n");
   CHECK(huge.spoilt());
   CHECK(huge.Feed("abc") == 0);
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -7,7 +7,8 @@
 #include <csignal>
 #include <fstream>
 
-#include "net/messages.h"
+#include "app/platform.h"
+#include "http/messages.h"
 #include "stage.h"
 
 namespace walnutspur::test {
@@ -367,29 +368,29 @@
     close(mkstemp(path));
     std::ofstream(path) << text;
     try {
-      net::LoadConfig(path);
+      app::LoadConfig(path);
       FAIL("it was taken");
     } catch (const std::exception& error) {
       CHECK(std::string(error.what()).find('\n') == std::string::npos);
     }
     std::remove(path);
   }
-  CHECK_THROWS(net::LoadConfig("/nowhere"));
+  CHECK_THROWS(app::LoadConfig("/nowhere"));
   auto config = BasicConfig();
   config["discovery"] = "127.0.0.1:1";
   config["known"] = {{"revision", "x"}};
-  CHECK_THROWS_WITH(net::Initiator(net::ParseConfig(config)), doctest::Contains("'known'"));
-  CHECK_THROWS(net::ParseOptions({"--unknown", "x"}));
-  CHECK_THROWS(net::ParseOptions({"--nbd"}));
+  CHECK_THROWS_WITH(app::Initiator(app::ParseConfig(config)), doctest::Contains("'known'"));
+  CHECK_THROWS(app::ParseOptions({"--unknown", "x"}));
+  CHECK_THROWS(app::ParseOptions({"--nbd"}));
 }
 
 TEST_CASE("a probe asks the box and tells what it reports") {
   auto json = BasicConfig();
   json["discovery"] = "127.0.0.1:1";
-  const net::Config config = net::ParseConfig(json);
-  const net::BaseRef base(event_base_new());
+  const http::Config config = app::ParseConfig(json);
+  const loop::BaseRef base(event_base_new());
   std::vector<core::Probed> heard;
-  net::HttpTargets targets(base.get(), config, [&](core::Input input) {
+  http::Targets targets(base.get(), config, [&](core::Input input) {
     heard.push_back(std::get<core::Probed>(input));
     event_base_loopbreak(base.get());
   });
@@ -418,9 +419,9 @@
 TEST_CASE("targets that are gone leave no address behind") {
   auto json = BasicConfig();
   json["discovery"] = "127.0.0.1:1";
-  const net::Config config = net::ParseConfig(json);
-  const net::BaseRef base(event_base_new());
-  net::HttpTargets targets(base.get(), config, [](core::Input) {});
+  const http::Config config = app::ParseConfig(json);
+  const loop::BaseRef base(event_base_new());
+  http::Targets targets(base.get(), config, [](core::Input) {});
   for (int i = 0; i < 1'000; ++i) {
     targets.Learn("t" + std::to_string(i), "127.0.0.1:1");
     targets.Withdraw("t" + std::to_string(i));
@@ -431,36 +432,36 @@
 }
 
 TEST_CASE("a list entry: an unknown phase wants nothing new, times are microseconds") {
-  const net::Config config = net::ParseConfig([] {
+  const http::Config config = app::ParseConfig([] {
     auto json = BasicConfig();
     json["discovery"] = "127.0.0.1:1";
     return json;
   }());
-  const auto list = net::ReadList(config, nlohmann::json::parse(R"({"revision":7,"complete":true,"members":[
+  const auto list = http::ReadList(config, nlohmann::json::parse(R"({"revision":7,"complete":true,"members":[
       {"id":"x","phase":"ODD","up_since_ms":5,"cell":2},{"id":"y","phase":"DELETED"},{"id":"z","phase":"SERVING"}]})"));
   CHECK(list.entries[0].phase == Phase::kQuiescing);
   CHECK(list.entries[0].launched == 5000);
   CHECK(list.entries[0].cell == 2);
   CHECK(list.entries[1].phase == Phase::kDead);
   CHECK(list.entries[2].phase == Phase::kLive);
-  CHECK_THROWS(net::ReadList(config, nlohmann::json::parse(R"({"revision":7})")));
+  CHECK_THROWS(http::ReadList(config, nlohmann::json::parse(R"({"revision":7})")));
 }
 
 TEST_CASE("what answers tell") {
   std::map<std::string, std::string> said = {
       {"X-Volume-Use", "85"}, {"X-Served-Elsewhere", "3"}, {"X-Load", R"({"util":0.5,"queue":2})"}};
-  const net::Header header = [&](const char* name) {
+  const http::Header header = [&](const char* name) {
     return said.contains(name) ? said[name].c_str() : nullptr;
   };
   core::Ended ended;
-  net::ReadTold({"queue", "absent"}, header, &ended);
+  http::ReadTold({"queue", "absent"}, header, &ended);
   CHECK(ended.seen_use == 86);  // the simulator's figure counts one more
   CHECK(ended.others_got == 3);
   CHECK(ended.report == std::vector<double>{2, 0});
   said["X-Load"] = "{";
   said["X-Volume-Use"] = "many";
   core::Ended none;
-  net::ReadTold({"queue"}, header, &none);
+  http::ReadTold({"queue"}, header, &none);
   CHECK(none.seen_use == 0);
   CHECK(none.report.empty());
 }
--- a/tests/net/pcap_test.cpp
+++ b/tests/net/pcap_test.cpp
@@ -101,7 +101,7 @@
 void RecordAndReplay(Wire wire) {
   File file;
   {
-    net::Options options;
+    app::Options options;
     options.record = file.path;
     Stage stage(wire, BasicConfig(), options);
     stage.Play(R"(
@@ -118,7 +118,7 @@
   }
   const auto streams = pcap::ReadStreams(file.path);
   REQUIRE(streams.size() == 1);
-  net::Options options;
+  app::Options options;
   options.replay = file.path;
   Stage again(wire, BasicConfig(), options);
   again.Play(R"(
--- a/tests/net/rude_test.cpp
+++ b/tests/net/rude_test.cpp
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <thread>
 
-#include "net/http_front.h"
+#include "http/front.h"
 #include "stage.h"
 
 namespace walnutspur::test {
@@ -153,12 +153,12 @@
 }
 
 TEST_CASE("a loop that stalls ends no connection whose request has come but was not read yet") {
-  std::unique_ptr<event_base, net::Freed<event_base_free>> base(event_base_new());
-  net::Config config;
-  config.listen = net::ParseAddress("127.0.0.1:0");
+  std::unique_ptr<event_base, loop::Freed<event_base_free>> base(event_base_new());
+  http::Config config;
+  config.listen = loop::ParseAddress("127.0.0.1:0");
   config.sockets = 4;  // room for one client
-  net::Serials serials;
-  net::HttpFront front(base.get(), config, &serials, [](core::Input) {});
+  core::Serials serials;
+  http::Front front(base.get(), config, &serials, [](core::Input) {});
   front.on_accept = [](bufferevent*) { std::this_thread::sleep_for(std::chrono::milliseconds(60)); };
   Socket first = Socket::Connect(front.port());
   first.Send("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n");
--- a/tests/net/stage.cpp
+++ b/tests/net/stage.cpp
@@ -13,7 +13,7 @@
 #include <fstream>
 #include <sstream>
 
-#include "net/messages.h"
+#include "http/messages.h"
 
 namespace walnutspur::test {
 namespace {
@@ -182,7 +182,7 @@
             {"telemetry", {{"fields", {"queue"}}}}}}};
 }
 
-Stage::Stage(core::Wire wire, const json& basic, net::Options options) : wire_(wire) {
+Stage::Stage(core::Wire wire, const json& basic, app::Options options) : wire_(wire) {
   json config = basic;
   int port = 0;
   discovery_ = Socket::Listen(&port);
@@ -209,12 +209,12 @@
       exports_.push_back({name, 1048576, 65536, nbd::kHasFlags | nbd::kSendFlush | nbd::kSendFua});
     }
   }
-  initiator_ = std::make_unique<net::Initiator>(net::ParseConfig(config), options);
+  initiator_ = std::make_unique<app::Initiator>(app::ParseConfig(config), options);
   initiator_->ReloadBy([this] {
     if (bad_config_) throw std::runtime_error("a bad file");
     json now = config_;
     now["discovery"] = "127.0.0.1:" + std::to_string(discovery_port_);
-    return net::ParseConfig(now);
+    return app::ParseConfig(now);
   });
   http_port_ = initiator_->front().port();
   if (initiator_->nbd_front()) nbd_port_ = initiator_->nbd_front()->port();
@@ -332,13 +332,13 @@
   char id[17];
   std::snprintf(id, sizeof id, "%016x", next_id_++);
   const std::string body = w[3] == "write" ? (w.size() > 4 ? w[4] : "data") : "";
-  REQUIRE(
-      c.socket.Send((w[3] == "write" ? "PUT" : "GET") +
-                    std::string(" /api/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: s\r\n") +
-                    "X-Request-Id: " + id + "\r\nX-Class: " + w[3] + "\r\nX-Plan: basic\r\n" +
-                    "X-Deadline: " + net::Seconds(config_["settings"]["classes"][0]["deadline"].get<Time>()) +
-                    "\r\nX-IO: units=1,shard=" + (shard == "b" ? "1" : "0") +
-                    ",hosts=1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body));
+  REQUIRE(c.socket.Send(
+      (w[3] == "write" ? "PUT" : "GET") +
+      std::string(" /api/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: s\r\n") + "X-Request-Id: " + id +
+      "\r\nX-Class: " + w[3] + "\r\nX-Plan: basic\r\n" +
+      "X-Deadline: " + http::Seconds(config_["settings"]["classes"][0]["deadline"].get<Time>()) +
+      "\r\nX-IO: units=1,shard=" + (shard == "b" ? "1" : "0") +
+      ",hosts=1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body));
 }
 
 std::string Stage::ClientHears(Client& c, int ms) {
--- a/tests/net/stage.h
+++ b/tests/net/stage.h
@@ -17,8 +17,9 @@
 #include <thread>
 #include <vector>
 
+#include "app/initiator.h"
+#include "app/platform.h"
 #include "nbd/codec.h"
-#include "net/initiator.h"
 
 namespace walnutspur::test {
 
@@ -58,13 +59,13 @@
 
 class Stage {
  public:
-  explicit Stage(core::Wire wire, const nlohmann::json& config = BasicConfig(), net::Options options = {});
+  explicit Stage(core::Wire wire, const nlohmann::json& config = BasicConfig(), app::Options options = {});
   ~Stage();
 
   void Play(const std::string& scenario);
   // Worth served in time over worth asked, of what clients have been answered.
   double score() const { return asked_ > 0 ? served_ / asked_ : 0; }
-  net::Initiator& initiator() { return *initiator_; }
+  app::Initiator& initiator() { return *initiator_; }
   void Halt();
   bool Ended(int ms);  // whether the initiator's loop has ended by itself
   std::size_t box_links(const std::string& name) const { return boxes_.at(name).links.size(); }
@@ -123,7 +124,7 @@
   std::string nbd_file_;
   std::vector<nbd::Export> exports_;
   int http_port_ = 0, nbd_port_ = 0;
-  std::unique_ptr<net::Initiator> initiator_;
+  std::unique_ptr<app::Initiator> initiator_;
   std::atomic<bool> ended_ = false;
   std::thread thread_;
 };
