Add a command line, own settings, structured logs and digest fields over HTTP

Need: a referral letter must come back as it was written, and whoever runs the program must see what was damaged and set what is checked.

Change: the command line is CLI11's (serve, check, example, version; without a command it serves as before). Settings stand in one TOML file, each key with type, range, default and unit; an unknown key names the nearest known one, and the NBD front's file is read by the same checker. Logs are logfmt or JSON lines on spdlog, asynchronous, bounded and limited by kind of event. Content-Digest and Repr-Digest (RFC 9530) of a write are verified before it is sent anywhere, those of an answer before its first byte reaches the client; a damaged answer is an outcome of its own that may have run. All of it is off unless the settings turn it on.

--- a/include/walnutspur/scheduler.h
+++ b/include/walnutspur/scheduler.h
@@ -36,7 +36,8 @@
   kRefusedConn,  // never ran: no connection in time
   kSevered,      // may have run
   kRecalled,     // may have run
-  kSuperseded    // never ran: not sent
+  kSuperseded,   // never ran: not sent
+  kDamaged       // may have run: what came back fails its checksum
 };
 
 // A class of requests.
--- a/src/app/initiator.cpp
+++ b/src/app/initiator.cpp
@@ -9,6 +9,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "log/log.h"
+
 namespace walnutspur::app {
 namespace {
 
@@ -32,21 +34,6 @@
 
 }  // namespace
 
-Options ParseOptions(const std::vector<std::string>& arguments) {
-  Options options;
-  for (std::size_t i = 0; i < arguments.size(); i += 2) {
-    std::string* value = arguments[i] == "--nbd"      ? &options.nbd
-                         : arguments[i] == "--record" ? &options.record
-                         : arguments[i] == "--replay" ? &options.replay
-                                                      : nullptr;
-    if (!value || i + 1 == arguments.size())
-      throw std::runtime_error(
-          "usage: walnutspur [--nbd FILE.toml] [--record FILE.pcap] [--replay FILE.pcap]");
-    *value = arguments[i + 1];
-  }
-  return options;
-}
-
 Initiator::Initiator(http::Config config, const Options& options)
     : config_(std::move(config)), base_(MakeBase()) {
   std::signal(SIGPIPE, SIG_IGN);
@@ -218,7 +205,8 @@
     config_.discovery = next.discovery;
     discovery_->Move();
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "walnutspur: the old configuration stays in force: %s\n", error.what());
+    log::Event(log::Level::kWarn, "configuration_refused",
+               {{"what", error.what()}, {"stays", "the old one"}});
   }
 }
 
--- a/src/app/initiator.h
+++ b/src/app/initiator.h
@@ -29,7 +29,6 @@
   std::string record;  // the pcap file that the traffic served is written to
   std::string replay;  // the pcap file whose streams are played to the fronts; then the initiator ends
 };
-Options ParseOptions(const std::vector<std::string>& arguments);  // throws std::runtime_error
 
 class Initiator {
  public:
--- a/src/http/config.h
+++ b/src/http/config.h
@@ -6,9 +6,11 @@
 #include <algorithm>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "integrity/digest.h"
 #include "loop/address.h"
 #include "walnutspur/scheduler.h"
 
@@ -24,6 +26,13 @@
   return at == names.end() ? -1 : static_cast<int>(at - names.begin());
 }
 
+// Digest fields (RFC 9530), from our own settings; off on the platform.
+struct Digests {
+  bool on = false;
+  // Computed over a client's write that came without one, and asked of boxes; nothing: neither.
+  std::optional<integrity::Algorithm> compute;
+};
+
 struct Config {
   std::string name;
   loop::Address listen, discovery;
@@ -37,6 +46,7 @@
   walnutspur::Time idle = 30'000'000;
   walnutspur::Time dial = 250'000;
   walnutspur::Time longest_deadline = 0;
+  Digests digests;
   nlohmann::json known;  // the list as it was held last, in discovery's form
 };
 
--- a/src/http/discovery.cpp
+++ b/src/http/discovery.cpp
@@ -4,6 +4,8 @@
 
 #include <cstdio>
 
+#include "log/log.h"
+
 namespace walnutspur::http {
 namespace {
 
@@ -88,7 +90,7 @@
     revision_ = list.revision;
     on_list_({list.complete ? walnutspur::Mode::kFull : walnutspur::Mode::kDelta, list.entries}, list);
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "walnutspur: discovery sent a line that cannot be read: %s\n", error.what());
+    log::Event(log::Level::kWarn, "discovery_line_unreadable", {{"what", error.what()}});
     OnEnd();
   }
 }
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -14,7 +14,7 @@
 #include <vector>
 
 #include "core/owner.h"
-#include "http/messages.h"
+#include "log/log.h"
 
 namespace walnutspur::http {
 namespace {
@@ -283,6 +283,8 @@
   if (const char* id = header("X-Request-Id")) payload->id = id;
   payload->body = std::move(read.body());
 
+  if (config_.digests.on && !TakeDigests(client, payload.get())) return;
+
   core::Arrived arrived;
   Time patience = 0;
   if (const auto wrong = ReadRequest(config_, *payload, header, &arrived, &patience))
@@ -310,6 +312,33 @@
   post_(std::move(arrived));
 }
 
+// A write that came damaged must reach no box; what came without a digest gets one here, so that it is
+// covered from here on.
+bool Front::TakeDigests(Client& client, Request* payload) {
+  const DigestCheck check = CheckDigests(client.reader, payload->body, payload->put);
+  if (check.match == integrity::Match::kDifferent) {
+    log::Event(log::Level::kWarn, "request_damaged", {{"request", payload->id}});
+    TurnAway(client, 400, "the digest is not that of the content");
+    return false;
+  }
+  payload->headers = check.headers;
+  if (payload->put && check.headers.empty() && config_.digests.compute)
+    payload->headers =
+        "Content-Digest: " + integrity::DigestField(*config_.digests.compute, payload->body) + "\r\n";
+  bool asked = false;
+  for (const char* name : {"Want-Content-Digest", "Want-Repr-Digest"}) {
+    const std::string field = client.reader.Joined(name);
+    if (field.empty()) continue;
+    asked = true;
+    payload->headers += std::string(name) + ": " + field + "\r\n";
+    if (!payload->wanted) payload->wanted = integrity::Wanted(field);
+  }
+  if (!asked && !payload->put && config_.digests.compute)
+    payload->headers +=
+        "Want-Content-Digest: " + std::string(integrity::NameOf(*config_.digests.compute)) + "=1\r\n";
+  return true;
+}
+
 void Front::Finish(const core::Answer& answer) {
   const auto at = held_.find(answer.serial);
   if (at == held_.end()) return;  // the client has left
@@ -318,9 +347,9 @@
   held_.erase(at);
   switch (answer.verdict) {
     case core::Verdict::kServed: {
-      const std::string& body = static_cast<const Answer&>(*answer.payload).body;
-      if (Fits(body.size())) {
-        Reply(client, 200, body);
+      const auto& whole = static_cast<const Answer&>(*answer.payload);
+      if (Fits(whole.body.size())) {
+        Reply(client, 200, whole.body, whole.headers);
       } else {
         Reply(client, 500, "no room for the answer\n");
       }
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -12,6 +12,7 @@
 
 #include "core/port.h"
 #include "http/config.h"
+#include "http/messages.h"
 #include "http/reader.h"
 #include "loop/loop.h"
 
@@ -68,6 +69,7 @@
   void OnWritten(Client& client);
   bool Read(Client& client);
   void OnRequest(Client& client);
+  bool TakeDigests(Client& client, Request* payload);
   void TurnAway(Client& client, int status, const std::string& why);
   void Reply(Client& client, int status, const std::string& body, const std::string& headers = "");
   bool Fits(std::size_t size) const;
--- a/src/http/messages.cpp
+++ b/src/http/messages.cpp
@@ -92,6 +92,20 @@
   return std::nullopt;
 }
 
+DigestCheck CheckDigests(const Reader& reader, std::string_view content, bool describes) {
+  DigestCheck check;
+  for (const char* name : {"Content-Digest", "Repr-Digest"}) {
+    const std::string field = reader.Joined(name);
+    if (field.empty()) continue;
+    check.headers += std::string(name) + ": " + field + "\r\n";
+    if (std::strcmp(name, "Repr-Digest") == 0 && (!describes || reader.Count("Content-Range") > 0)) continue;
+    const integrity::Match match = integrity::Verify(field, content);
+    if (match == integrity::Match::kDifferent || check.match == integrity::Match::kNone) check.match = match;
+    if (match == integrity::Match::kDifferent) break;
+  }
+  return check;
+}
+
 // A 503 or 504 proves that the request never ran only where it says so; any other answer may come after the
 // work was done.
 Outcome OutcomeOf(int code, const Header& header) {
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -9,6 +9,7 @@
 
 #include "core/engine.h"
 #include "http/config.h"
+#include "http/reader.h"
 
 namespace walnutspur::http {
 
@@ -16,11 +17,23 @@
 struct Request : core::Payload {
   bool put = false;
   std::string uri, id, body;
+  std::string headers;                         // digest fields that pass on, as lines with their ends
+  std::optional<integrity::Algorithm> wanted;  // the digest that the client wants of the answer
 };
 struct Answer : core::Payload {
   std::string body;
+  std::string headers;  // digest fields that pass on, as lines with their ends
 };
 
+// The digest fields of a message against its content. `describes` says whether Repr-Digest speaks of this
+// very content: of a write's, and of the answer to a read, but not of a part or of the answer to a write (RFC
+// 9530, 3).
+struct DigestCheck {
+  integrity::Match match = integrity::Match::kNone;
+  std::string headers;  // the fields that were there, as lines
+};
+DigestCheck CheckDigests(const Reader& reader, std::string_view content, bool describes);
+
 using Header = std::function<const char*(const char*)>;  // the value of a header, or null
 
 // Reads what the decisions need. Returns what is wrong, if anything is.
--- a/src/http/reader.cpp
+++ b/src/http/reader.cpp
@@ -139,6 +139,14 @@
   return nullptr;
 }
 
+std::string Reader::Joined(std::string_view name) const {
+  std::string joined;
+  for (const auto& [field, value] : fields_) {
+    if (Same(field, name)) joined += (joined.empty() ? "" : ", ") + value;
+  }
+  return joined;
+}
+
 std::size_t Reader::Count(std::string_view name) const {
   return static_cast<std::size_t>(std::count_if(fields_.begin(), fields_.end(),
                                                 [&](const auto& field) { return Same(field.first, name); }));
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -37,6 +37,8 @@
   // The value of a header, or null; names are taken without regard to case.
   const char* Find(std::string_view name) const;
   std::size_t Count(std::string_view name) const;
+  // All values of a header that is a list, as one (RFC 9110, 5.3); empty: there is none.
+  std::string Joined(std::string_view name) const;
   std::string& body() { return body_; }
   std::size_t claimed() const {
     return body_.size() + static_cast<std::size_t>(left_);
--- a/src/http/targets.cpp
+++ b/src/http/targets.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 
 #include "core/owner.h"
+#include "log/log.h"
 
 namespace walnutspur::http {
 namespace {
@@ -22,6 +23,7 @@
   if (!request) return "GET /-/healthy HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
   std::string text = (request->put ? "PUT " : "GET ") + request->uri + " HTTP/1.1\r\nHost: " + host +
                      "\r\nX-Request-Id: " + request->id + "\r\nX-Deadline: " + Seconds(limit) + "\r\n";
+  text += request->headers;
   if (request->put) text += "Content-Length: " + std::to_string(request->body.size()) + "\r\n";
   return text + "\r\n" + request->body;
 }
@@ -171,6 +173,8 @@
     return post_(core::Probed{{target, ended.outcome, 0, {}}});
   }
   c->attempt = key;
+  c->reads = request && !request->put;
+  c->wanted = request ? request->wanted : std::nullopt;
   c->sent = core::Now();
   c->answer = Reader(Reader::Kind::kAnswer, kMostAnswer);
   attempts_[key] = c;
@@ -222,6 +226,13 @@
   if (ended.outcome == Outcome::kCompleted) {
     auto payload = std::make_shared<Answer>();
     payload->body = std::move(c.answer.body());
+    if (config_.digests.on) {
+      DigestCheck check = CheckDigests(c.answer, payload->body, c.reads);
+      if (check.match == integrity::Match::kDifferent) return Damaged(c);
+      payload->headers = std::move(check.headers);
+      if (payload->headers.empty() && c.wanted)
+        payload->headers = "Content-Digest: " + integrity::DigestField(*c.wanted, payload->body) + "\r\n";
+    }
     ended.payload = std::move(payload);
   }
   const bool keeps = c.answer.keeps() && evbuffer_get_length(bufferevent_get_input(c.stream.get())) == 0;
@@ -232,6 +243,17 @@
   c.idle.Start(static_cast<Time>(kIdlePart * static_cast<double>(config_.idle)));
 }
 
+// The box has done the work, but what came back is not what it sent. Not a byte of it goes on, and nothing
+// more is asked on a connection that may be what damaged it.
+void Targets::Damaged(Connection& c) {
+  log::Event(log::Level::kWarn, "answer_damaged",
+             {{"request", std::to_string(c.attempt->first)}, {"box", c.target}});
+  core::Ended ended;
+  ended.outcome = Outcome::kDamaged;
+  Report(c, std::move(ended));
+  Discard(c);
+}
+
 // The attempt ends without an answer. What never left whole never ran, whatever ended it.
 void Targets::Break(Connection& c, Outcome outcome) {
   if (!c.attempt) return;
--- a/src/http/targets.h
+++ b/src/http/targets.h
@@ -48,6 +48,8 @@
     std::uint64_t number = 0;
     TargetId target;
     std::optional<Key> attempt;
+    bool reads = false;                          // the attempt is a GET
+    std::optional<integrity::Algorithm> wanted;  // the digest that its client wants
     Time sent = 0;
     bool connected = false;  // it has come up
     Reader answer{Reader::Kind::kAnswer};
@@ -63,6 +65,7 @@
   bool Written(const Connection& connection) const;
   void OnRead(Connection& connection);
   void OnAnswer(Connection& connection);
+  void Damaged(Connection& connection);
   void Break(Connection& connection, Outcome outcome);
   void Report(Connection& connection, core::Ended ended);
   void Discard(Connection& connection);
--- a/src/nbd/config.cpp
+++ b/src/nbd/config.cpp
@@ -1,7 +1,5 @@
 #include "nbd/config.h"
 
-#include <toml++/toml.h>
-
 #include <algorithm>
 #include <cmath>
 #include <fstream>
@@ -13,67 +11,114 @@
 
 constexpr double kMostBytes = 1 << 20;  // of a command, whatever a unit is
 
-template <typename T>
-T Need(const toml::table& table, const char* key) {
-  const auto value = table[key].value<T>();
-  if (!value) throw std::runtime_error("'" + std::string(key) + "' is missing or of another type");
-  return *value;
-}
-
 int Index(const std::vector<std::string>& names, const std::string& name) {
   const auto at = std::find(names.begin(), names.end(), name);
   if (at == names.end()) throw std::runtime_error("'" + name + "' is not in the settings");
   return static_cast<int>(at - names.begin());
 }
 
-template <typename Call>
-void Each(const toml::table& table, const char* key, Call call) {
-  const toml::array* items = table[key].as_array();
-  if (!items) throw std::runtime_error("no [[" + std::string(key) + "]]");
-  for (const auto& item : *items) {
-    if (!item.is_table()) throw std::runtime_error("[[" + std::string(key) + "]] holds no tables");
-    call(*item.as_table());
-  }
-}
-
 }  // namespace
 
+const std::vector<config::Key>& Keys() {
+  using config::Kind;
+  static const std::vector<config::Key> keys = {
+      {"listen", Kind::kText, 3, 64, "", "", {}, true, "where clients connect"},
+      {"handshake_s",
+       Kind::kNumber,
+       0.01,
+       2.5,
+       "s",
+       "2.5",
+       {},
+       false,
+       "a client's handshake takes no longer"},
+      {"idle_s",
+       Kind::kNumber,
+       0.1,
+       3600,
+       "s",
+       "30.0",
+       {},
+       false,
+       "a box closes an idle connection after it"},
+      {"dial_s",
+       Kind::kNumber,
+       0.001,
+       0.45,
+       "s",
+       "0.25",
+       {},
+       false,
+       "connection and handshake at a box; under the grace of a drain"},
+      {"unit_bytes",
+       Kind::kNumber,
+       1,
+       1 << 30,
+       "bytes",
+       "4096.0",
+       {},
+       false,
+       "a command counts one unit for each part of this size"},
+      {"commands.read", Kind::kText, 1, 256, "", "", {}, true, "the class of reads"},
+      {"commands.write", Kind::kText, 1, 256, "", "", {}, true, "the class of writes"},
+      {"commands.flush", Kind::kText, 1, 256, "", "", {}, true, "the class of flushes"},
+      {"box[].id", Kind::kText, 1, 256, "", "", {}, true, "as discovery lists it"},
+      {"box[].address", Kind::kText, 3, 64, "", "", {}, true, "where it speaks NBD"},
+      {"box[].listed", Kind::kBool, 0, 0, "", "true", {}, false, "whether discovery knows it"},
+      {"export[].name", Kind::kText, 1, 4096, "", "", {}, true, "as clients ask for it"},
+      {"export[].volume", Kind::kText, 1, 256, "", "", {}, true, "the volume's name in the decisions"},
+      {"export[].plan", Kind::kText, 1, 256, "", "", {}, true, "its plan, of the settings"},
+      {"export[].shard", Kind::kInteger, 0, 1 << 30, "", "", {}, true, "where its data lies"},
+      {"export[].hosts", Kind::kInteger, 1, 1 << 20, "", "1", {}, false, "initiators that reach it"},
+      {"export[].box", Kind::kText, 1, 256, "", "", {}, true, "the box that holds it"},
+      {"export[].remote", Kind::kText, 1, 4096, "", "", {}, false, "its name at the box; the same without"},
+      {"export[].size", Kind::kInteger, 1, 9.2e18, "bytes", "", {}, true, "of the export"},
+  };
+  return keys;
+}
+
 Config ParseConfig(const std::string& text, const std::vector<std::string>& classes,
                    const std::vector<std::string>& plans, const Settings& settings, int shards) {
-  const toml::table root = toml::parse(text);
+  const config::Document document = config::Read(text, Keys());
+  if (!document.problems.empty()) {
+    const config::Problem& first = document.problems.front();
+    throw std::runtime_error(config::Line("line " + std::to_string(first.line), {0, first.key, first.what}));
+  }
+  const config::Table& root = document.root;
+  const auto tables = [&](const char* name) {
+    const auto at = root.tables.find(name);
+    if (at == root.tables.end()) throw std::runtime_error("no [[" + std::string(name) + "]]");
+    return at->second;
+  };
+  const auto micros = [&](const char* key) { return static_cast<Time>(root.Number(key) * 1e6); };
   Config c;
-  c.listen = Need<std::string>(root, "listen");
-  c.handshake = static_cast<Time>(std::clamp(root["handshake_s"].value_or(2.5), 0.01, 2.5) * 1e6);
-  c.idle = static_cast<Time>(root["idle_s"].value_or(30.0) * 1e6);
-  c.dial = static_cast<Time>(root["dial_s"].value_or(0.25) * 1e6);
-  c.unit_bytes = root["unit_bytes"].value_or(4096.0);
-  if (!(c.unit_bytes >= 1)) throw std::runtime_error("'unit_bytes' is under 1");
-  const toml::table* commands = root["commands"].as_table();
-  if (!commands) throw std::runtime_error("no [commands]");
-  c.classes[kRead] = Index(classes, Need<std::string>(*commands, "read"));
-  c.classes[kWrite] = Index(classes, Need<std::string>(*commands, "write"));
-  c.classes[kFlush] = Index(classes, Need<std::string>(*commands, "flush"));
-  Each(root, "box", [&](const toml::table& t) {
+  c.listen = root.Text("listen");
+  c.handshake = micros("handshake_s");
+  c.idle = micros("idle_s");
+  c.dial = micros("dial_s");
+  c.unit_bytes = root.Number("unit_bytes");
+  c.classes[kRead] = Index(classes, root.Text("commands.read"));
+  c.classes[kWrite] = Index(classes, root.Text("commands.write"));
+  c.classes[kFlush] = Index(classes, root.Text("commands.flush"));
+  for (const config::Table& t : tables("box")) {
     Box box;
-    box.id = Need<std::string>(t, "id");
-    box.address = Need<std::string>(t, "address");
-    box.listed = t["listed"].value_or(true);
+    box.id = t.Text("id");
+    box.address = t.Text("address");
+    box.listed = t.Bool("listed");
     c.boxes.push_back(box);
-  });
-  Each(root, "export", [&](const toml::table& t) {
+  }
+  for (const config::Table& t : tables("export")) {
     Volume v;
-    v.front.name = Need<std::string>(t, "name");
-    const auto size = Need<std::int64_t>(t, "size");
-    if (size <= 0) throw std::runtime_error("export '" + v.front.name + "' has no size");
-    v.front.size = static_cast<std::uint64_t>(size);
+    v.front.name = t.Text("name");
+    v.front.size = static_cast<std::uint64_t>(t.Integer("size"));
     v.front.largest =
         static_cast<std::uint32_t>(std::min(kMostBytes, std::floor(settings.largest_units * c.unit_bytes)));
-    v.volume = Need<std::string>(t, "volume");
-    v.plan = Index(plans, Need<std::string>(t, "plan"));
-    v.shard = Need<int>(t, "shard");
-    v.hosts = std::max(1, t["hosts"].value_or(1));
-    v.box = Need<std::string>(t, "box");
-    v.remote = t["remote"].value_or(v.front.name);
+    v.volume = t.Text("volume");
+    v.plan = Index(plans, t.Text("plan"));
+    v.shard = static_cast<int>(t.Integer("shard"));
+    v.hosts = static_cast<int>(t.Integer("hosts"));
+    v.box = t.Text("box");
+    v.remote = t.Has("remote") ? t.Text("remote") : v.front.name;
     const auto box =
         std::find_if(c.boxes.begin(), c.boxes.end(), [&](const Box& b) { return b.id == v.box; });
     if (box == c.boxes.end()) throw std::runtime_error("export '" + v.front.name + "' names no box");
@@ -84,7 +129,7 @@
     box->shard = v.shard;
     c.exports.push_back(v.front);
     c.volumes.push_back(std::move(v));
-  });
+  }
   return c;
 }
 
--- a/src/nbd/config.h
+++ b/src/nbd/config.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "config/schema.h"
 #include "nbd/codec.h"
 #include "walnutspur/scheduler.h"
 
@@ -37,6 +38,9 @@
   std::vector<Export> exports;  // the volumes' fronts, in their order
 };
 
+// The keys of the file.
+const std::vector<config::Key>& Keys();
+
 // `classes` and `plans` are the names in the settings. Throws std::exception with a message of one line.
 Config LoadConfig(const std::string& path, const std::vector<std::string>& classes,
                   const std::vector<std::string>& plans, const Settings& settings, int shards);
--- /dev/null
+++ b/tests/unit/config_test.cpp
@@ -0,0 +1,114 @@
+// Settings' files: what is wrong is told with its line, its key and what is allowed.
+#include "nbd/config.h"
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+
+#include "app/command_line.h"
+#include "app/settings.h"
+
+namespace walnutspur {
+namespace {
+
+class File {
+ public:
+  explicit File(const std::string& text) {
+    char path[] = "/tmp/walnutspur-test-XXXXXX";
+    close(mkstemp(path));
+    path_ = path;
+    std::ofstream(path_) << text;
+  }
+  ~File() { std::remove(path_.c_str()); }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+TEST_CASE("each kind of wrong value is told with its line, its key and what is allowed") {
+  const struct {
+    const char *text, *line;
+  } kCases[] = {
+      {"[log]\nlevle = \"warn\"", ":2: log.levle: is no known key; the nearest is log.level"},
+      {"[log]\nlevel = \"loud\"", ":2: log.level: cannot be \"loud\"; allowed is one of \"debug\", \"info\""},
+      {"[log]\n\nqueue = 3",
+       ":3: log.queue: is out of range; allowed is a whole number from 16 to 65536 lines"},
+      {"[log]\nqueue = 20.5", ":2: log.queue: is not a whole number"},
+      {"[log]\nper_kind = nan", ":2: log.per_kind: is out of range"},
+      {"[log]\nfile = 3", ":2: log.file: is not a text"},
+      {"[integrity]\ndigests = 1", ":2: integrity.digests: is not true or false"},
+      {"[[log]]\nlevel = \"warn\"", ":1: log: is no known key"},
+      {"zzz = 1", ":1: zzz: is no known key"},
+      {"[log\nlevel = 3", ": is no TOML"},
+  };
+  for (const auto& c : kCases) {
+    const File file(c.text);
+    const auto lines = app::CheckFile(file.path());
+    REQUIRE(lines.size() == 1);
+    CHECK_MESSAGE(lines[0].find(c.line) != std::string::npos, lines[0]);
+    CHECK(lines[0].find('\n') == std::string::npos);
+    CHECK_THROWS(app::LoadSettings(file.path()));
+  }
+  CHECK(app::CheckFile("/nowhere/at/all").front() == "/nowhere/at/all: cannot be read");
+}
+
+TEST_CASE("all problems of a file are told, in the order of its lines") {
+  const File file("[[box]]\nid = 4\naddress = \"127.0.0.1:1\"\nadress = \"x\"\n");
+  const auto lines = app::CheckFile(file.path());
+  std::string all;
+  for (const auto& line : lines) all += line + "\n";
+  CAPTURE(all);
+  CHECK(all.find(":2: box[].id: is not a text") < all.find(":4: box[].adress"));
+  CHECK(all.find("the nearest is address") != std::string::npos);
+  CHECK(all.find("commands.read: is missing") != std::string::npos);
+}
+
+TEST_CASE("the example that the program prints holds, and says the defaults") {
+  const File file(config::Example(app::SettingsKeys()));
+  CHECK(app::CheckFile(file.path()).empty());
+  const auto from_example = app::LoadSettings(file.path());
+  const File empty("");
+  const auto from_nothing = app::LoadSettings(empty.path());
+  CHECK(from_example.log.level == from_nothing.log.level);
+  CHECK(from_nothing.log.level == log::Level::kWarn);
+  CHECK_FALSE(from_nothing.digests.on);
+  CHECK(from_example.log.queue == 512);
+}
+
+TEST_CASE("the shipped files hold") {
+  CHECK(app::CheckFile(WALNUTSPUR_ROOT "/deploy/nbd.toml").empty());
+  CHECK(app::CheckFile(WALNUTSPUR_ROOT "/deploy/walnutspur.toml").empty());
+}
+
+TEST_CASE("a word is near only if most of it stands") {
+  CHECK(config::Nearest("levl", {"level", "form"}) == "level");
+  CHECK(config::Nearest("xy", {"ab", "form"}).empty());
+  CHECK(config::Nearest("", {"a"}).empty());
+}
+
+TEST_CASE("the command line: no argument serves, what is wrong is one line and code 2") {
+  CHECK(app::ParseCommand({}).action == app::Action::kServe);
+  const auto old = app::ParseCommand({"--nbd", "f.toml", "--record", "o.pcap"});
+  CHECK(old.action == app::Action::kServe);
+  CHECK(old.options.nbd == "f.toml");
+  CHECK(old.options.record == "o.pcap");
+  CHECK(app::ParseCommand({"serve", "--settings", "s.toml"}).settings == "s.toml");
+  CHECK(app::ParseCommand({"check", "a", "b"}).files.size() == 2);
+  CHECK(app::ParseCommand({"version"}).action == app::Action::kVersion);
+  const auto help = app::ParseCommand({"--help"});
+  CHECK(help.code == 0);
+  CHECK(help.said.find("check") != std::string::npos);
+  for (const std::vector<std::string>& wrong :
+       {std::vector<std::string>{"--unknown", "x"}, {"--nbd"}, {"check"}, {"serve", "check"}}) {
+    const auto said = app::ParseCommand(wrong);
+    CHECK(said.action == app::Action::kSaid);
+    CHECK(said.code == 2);
+    CHECK(said.said.find('\n') == said.said.size() - 1);
+  }
+}
+
+}  // namespace
+}  // namespace walnutspur
--- /dev/null
+++ b/tests/unit/main.cpp
@@ -0,0 +1,2 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
