--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -23,6 +23,7 @@
       "  BALANCER_CONFIG=config.json walnutspur\n"
       "  walnutspur serve --config config.json --settings walnutspur.toml\n"
       "  walnutspur check deploy/walnutspur.toml deploy/nbd.toml\n"
+      "  walnutspur integrity format 127.0.0.1:10810 clinic-calendar\n"
       "Exit codes: 0 done, 1 it could not be done or a file is wrong, 2 the command line is wrong.");
   cli.add_option("--config", command.config, "The platform's configuration (JSON), before BALANCER_CONFIG");
   cli.add_option("--settings", command.settings, "Our own settings (TOML); see `walnutspur example`");
@@ -36,6 +37,26 @@
       ->required();
   CLI::App* example = cli.add_subcommand("example", "Print our settings with their defaults, commented");
   CLI::App* version = cli.add_subcommand("version", "Print the version");
+  CLI::App* integrity =
+      cli.add_subcommand("integrity", "Checksummed exports, offline, and the damage ledger");
+  integrity->require_subcommand(1);
+  const auto on_export = [&](const char* name, const char* what) {
+    CLI::App* sub = integrity->add_subcommand(name, what);
+    sub->add_option("ADDRESS", command.integrity.address, "Where the box speaks NBD: 127.0.0.1:10810")
+        ->required();
+    sub->add_option("EXPORT", command.integrity.remote, "The export's name at the box")->required();
+    return sub;
+  };
+  CLI::App* format = on_export("format", "Lay out tags and journal; the export's data is lost");
+  format->add_option("--journal", command.integrity.journal, "Bytes of the journal")
+      ->check(CLI::Range(std::uint64_t{4} << 20, std::uint64_t{1} << 30))
+      ->capture_default_str();
+  format->add_flag("--force", command.integrity.force, "Even if it is formatted already");
+  CLI::App* super = on_export("show", "Print the superblock");
+  CLI::App* verify =
+      on_export("verify", "Read every block and hold it against its tag; exit code 1 if one is damaged");
+  CLI::App* ledger = integrity->add_subcommand("ledger", "Print the damage ledger of a folder");
+  ledger->add_option("FOLDER", command.integrity.folder, "The settings' integrity.folder")->required();
   try {
     std::reverse(arguments.begin(), arguments.end());  // as the library wants a vector
     cli.parse(std::move(arguments));
@@ -53,6 +74,10 @@
   if (check->parsed()) command.action = Action::kCheck;
   if (example->parsed()) command.action = Action::kExample;
   if (version->parsed()) command.action = Action::kVersion;
+  if (format->parsed()) command.action = Action::kFormat;
+  if (super->parsed()) command.action = Action::kSuper;
+  if (verify->parsed()) command.action = Action::kVerify;
+  if (ledger->parsed()) command.action = Action::kLedger;
   return command;
 }
 
--- a/src/app/command_line.h
+++ b/src/app/command_line.h
@@ -6,10 +6,11 @@
 #include <vector>
 
 #include "app/initiator.h"
+#include "app/integrity_tool.h"
 
 namespace walnutspur::app {
 
-enum class Action { kServe, kCheck, kExample, kVersion, kSaid };
+enum class Action { kServe, kCheck, kExample, kVersion, kFormat, kSuper, kVerify, kLedger, kSaid };
 
 struct Command {
   Action action = Action::kServe;
@@ -17,8 +18,9 @@
   std::string settings;            // our own settings' file; empty: none
   std::string config;              // the platform's; empty: what BALANCER_CONFIG names
   std::vector<std::string> files;  // of check
-  std::string said;                // kSaid: what to print (help, or what is wrong)
-  int code = 0;                    // kSaid: the exit code
+  IntegrityOptions integrity;
+  std::string said;  // kSaid: what to print (help, or what is wrong)
+  int code = 0;      // kSaid: the exit code
 };
 
 // `arguments` without the program's name. No argument at all is serve. What is wrong comes back as kSaid with
--- a/src/app/initiator.cpp
+++ b/src/app/initiator.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t kMostRecorded = 64 << 20;  // bytes: files count as memory
 constexpr Time kLook = 50'000;                   // us between looks whether all is answered
 constexpr Time kLongestMost = 3'000'000;         // us; the platform counts a longer deadline as this one
+constexpr Time kScrubPatience = 5'000'000;       // us that a scrub's read may wait for its turn
+constexpr double kScrubWorth = 0.01;             // of its class and of its plan
 constexpr Time kKilled = 600'000;                // us after the longest deadline; SIGKILL comes at 0.7 s
 
 loop::BaseRef MakeBase() {
@@ -43,7 +45,7 @@
   });
   targets_ = std::make_unique<http::Targets>(base_.get(), config_, post);
   front_ = std::make_unique<http::Front>(base_.get(), config_, &serials_, post);
-  if (!options.nbd.empty()) StartNbd(options.nbd, post);
+  if (!options.nbd.empty()) StartNbd(options, post);
   if (!options.record.empty()) {
     recorder_ = std::make_unique<pcap::Recorder>(options.record, kMostRecorded);
     const auto attach = [this](bufferevent* stream) { recorder_->Attach(stream); };
@@ -75,13 +77,35 @@
   if (!options.replay.empty()) StartReplay(options.replay);
 }
 
-void Initiator::StartNbd(const std::string& path, const core::Post& post) {
-  nbd_ = nbd::LoadConfig(path, config_.names.classes, config_.names.plans, config_.settings, config_.shards);
+void Initiator::StartNbd(const Options& options, const core::Post& post) {
+  nbd_ = nbd::LoadConfig(options.nbd, config_.names.classes, config_.names.plans, config_.settings,
+                         config_.shards);
   nbd_.dial = std::min(nbd_.dial, config_.dial);
   const std::size_t most =
       std::clamp<std::size_t>(static_cast<std::size_t>(config_.sockets / kNbdPart), 1, kMostNbd);
-  boxes_ = std::make_unique<nbd::Boxes>(base_.get(), nbd_, most, post);
+  boxes_ = std::make_unique<checked::Exports>(base_.get(), nbd_, most, options.folder, post);
   nbd_front_ = std::make_unique<nbd::Front>(base_.get(), nbd_, config_.settings, most, &serials_, post);
+  const bool checks =
+      std::any_of(nbd_.volumes.begin(), nbd_.volumes.end(), [](const auto& v) { return v.checked; });
+  if (checks && options.scrub.on) AddScrub(options.scrub, post);
+}
+
+// The scrub's class and plan are the module's own: no client can name them, and they earn next to nothing.
+void Initiator::AddScrub(checked::ScrubOptions scrub, const core::Post& post) {
+  RequestClass cls;
+  cls.aim = cls.deadline = scrub.patience = kScrubPatience;
+  cls.worth = kScrubWorth;
+  scrub.request_class = static_cast<int>(config_.settings.classes.size());
+  config_.settings.classes.push_back(cls);
+  Plan plan;
+  plan.rate = kScrubWorth;
+  plan.parts = kScrubWorth;
+  plan.value_factor = kScrubWorth;
+  scrub.plan = static_cast<int>(config_.settings.plans.size());
+  config_.settings.plans.push_back(plan);
+  scrub.warm_up = config_.settings.rules.warm_up;
+  scrub_ = std::make_unique<checked::Scrub>(base_.get(), nbd_, scrub, &serials_, post);
+  boxes_->on_suspicion = [this](std::size_t number, std::uint64_t block) { scrub_->Recheck(number, block); };
 }
 
 // The streams of a file take the place of clients: each goes to the front whose protocol it speaks.
@@ -151,27 +175,38 @@
 }
 
 core::Connector& Initiator::connector(core::Wire wire) {
-  if (wire == core::Wire::kNbd) return *boxes_;
+  if (wire != core::Wire::kHttp) return *boxes_;
   return *targets_;
 }
 
 std::vector<core::Front*> Initiator::fronts() {
   std::vector<core::Front*> all{front_.get()};
   if (nbd_front_) all.push_back(nbd_front_.get());
+  if (scrub_) all.push_back(scrub_.get());
   return all;
 }
 
 core::Front& Initiator::front(core::Wire wire) {
   if (wire == core::Wire::kNbd) return *nbd_front_;
+  if (wire == core::Wire::kOwn) return *scrub_;
   return *front_;
 }
 
 void Initiator::Do(const core::Withdraw& output) {
   targets_->Withdraw(output.target);
   if (boxes_) boxes_->Withdraw(output.target);
+  if (scrub_) scrub_->OnBox(output.target, false, 0);
 }
 
-void Initiator::Do(const core::Answer& output) { front(output.wire).Finish(output); }
+void Initiator::Do(const core::Welcome& output) {
+  if (boxes_) boxes_->Restore(output.target);
+  if (scrub_) scrub_->OnBox(output.target, true, output.launched);
+}
+
+void Initiator::Do(const core::Answer& output) {
+  if (scrub_ && output.wire != core::Wire::kOwn) scrub_->Saw(output);
+  front(output.wire).Finish(output);
+}
 
 void Initiator::Do(const core::Ring& output) {
   const std::uint64_t number = next_ring_++;
--- a/src/app/initiator.h
+++ b/src/app/initiator.h
@@ -9,6 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include "checked/exports.h"
+#include "checked/scrub.h"
 #include "core/owner.h"
 #include "core/port.h"
 #include "http/config.h"
@@ -16,7 +18,6 @@
 #include "http/front.h"
 #include "http/targets.h"
 #include "loop/loop.h"
-#include "nbd/boxes.h"
 #include "nbd/config.h"
 #include "nbd/front.h"
 #include "pcap/traffic.h"
@@ -27,6 +28,8 @@
 struct Options {
   std::string nbd;     // the file of the NBD front; empty: there is none
   std::string record;  // the pcap file that the traffic served is written to
+  std::string folder;  // where the damage ledger is kept; empty: in memory only
+  checked::ScrubOptions scrub;
   std::string replay;  // the pcap file whose streams are played to the fronts; then the initiator ends
 };
 
@@ -51,6 +54,8 @@
   nbd::Front* nbd_front() { return nbd_front_.get(); }
   const pcap::Player* player() const { return player_.get(); }
   std::size_t box_connections() const { return boxes_ ? boxes_->connections() : 0; }
+  checked::Exports* exports() { return boxes_.get(); }
+  checked::Scrub* scrub() { return scrub_.get(); }
 
  private:
   void Drain();
@@ -61,13 +66,15 @@
   void Do(const core::Attempt& output) { connector(output.wire).Start(output); }
   void Do(const core::Cancel& output) { connector(output.wire).Stop(output.serial, output.trial); }
   void Do(const core::Withdraw& output);
+  void Do(const core::Welcome& output);
   void Do(const core::Answer& output);
   void Do(const core::Ring& output);
   void Do(const core::Watch&) { discovery_->Watch(); }
   void Do(const core::Check& output) { targets_->Probe(output.target); }
   core::Connector& connector(core::Wire wire);
 
-  void StartNbd(const std::string& path, const core::Post& post);
+  void StartNbd(const Options& options, const core::Post& post);
+  void AddScrub(checked::ScrubOptions scrub, const core::Post& post);
   void StartReplay(const std::string& path);
   core::Front& front(core::Wire wire);
   std::vector<core::Front*> fronts();
@@ -82,7 +89,8 @@
   std::unique_ptr<http::Targets> targets_;
   std::unique_ptr<http::Discovery> discovery_;
   std::unique_ptr<nbd::Front> nbd_front_;
-  std::unique_ptr<nbd::Boxes> boxes_;
+  std::unique_ptr<checked::Exports> boxes_;
+  std::unique_ptr<checked::Scrub> scrub_;
   std::unique_ptr<pcap::Player> player_;
   std::uint64_t next_ring_ = 0;
   std::map<std::uint64_t, loop::Watcher> rings_;
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "checked/scrub.h"
 #include "config/schema.h"
 #include "http/config.h"
 #include "log/log.h"
@@ -15,6 +16,8 @@
 struct Settings {
   log::Options log;
   http::Digests digests;
+  std::string folder;  // of the damage ledger
+  checked::ScrubOptions scrub;
   std::string nbd;  // the file of the NBD front; empty: there is none
 };
 
--- /dev/null
+++ b/src/checked/exports.h
@@ -0,0 +1,127 @@
+// Carries out attempts on checksummed exports: one integrity::Volume for each, on top of the connections of
+// nbd::Boxes. Attempts on other exports pass through to those.
+//
+// An attempt is one command of a volume, which asks the box for as many reads and writes as it needs; all of
+// a read's go by one path. Whatever of them is under way when the attempt ends is awaited by the volume, not
+// by the engine. Checkpoints are the volume's own work: the module has counted a write's units twice for
+// them.
+//
+// Runs on the loop's thread. Owns the volumes, the paths' states, the open cases and the damage ledger.
+#ifndef WALNUTSPUR_CHECKED_EXPORTS_H_
+#define WALNUTSPUR_CHECKED_EXPORTS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/port.h"
+#include "integrity/blame.h"
+#include "integrity/ledger.h"
+#include "integrity/volume.h"
+#include "loop/loop.h"
+#include "nbd/boxes.h"
+#include "nbd/config.h"
+
+namespace walnutspur::checked {
+
+struct Counts {
+  std::uint64_t reads = 0, writes = 0;  // commands of clients and of the scrub
+  std::uint64_t mismatches = 0;         // bad blocks met, each reading of one
+  std::uint64_t verdicts = 0;
+};
+
+class Exports : public core::Connector {
+ public:
+  // `most` bounds the connections; `folder` keeps the ledger, empty: memory only. A ledger there that cannot
+  // be read is logged and left alone.
+  Exports(event_base* base, const nbd::Config& config, std::size_t most, const std::string& folder,
+          core::Post post);
+  ~Exports() override;
+
+  void Start(const core::Attempt& attempt) override;
+  void Stop(core::Serial serial, int trial) override;
+  // Nothing more goes to a box that drains or is gone, checkpoints included, until it is live again.
+  void Withdraw(const TargetId& target) override;
+  void Restore(const TargetId& target);
+
+  std::size_t connections() const { return boxes_.connections(); }
+  const integrity::Volume* volume(std::size_t number) const { return exports_[number].volume.get(); }
+  const integrity::Ledger& ledger() const { return ledger_; }
+  const Counts& counts() const { return counts_; }
+  integrity::PathState PathOf(const std::string& box, int path);
+
+  // Called with each block that was found bad and on which no verdict has fallen yet.
+  std::function<void(std::size_t number, std::uint64_t block)> on_suspicion;
+
+ private:
+  using Key = std::pair<core::Serial, int>;
+
+  struct Export {
+    const nbd::Volume* config = nullptr;
+    std::unique_ptr<integrity::Volume> volume;
+    bool held = false;  // the box takes nothing
+    bool pumping = false;
+    bool told = false;  // that it is broken
+    Time written = 0;   // the last write's answer
+    Time dirty_since = 0;
+    Time rest = 0;        // before the next try, after a failure
+    loop::Watcher tick;   // checkpoints
+    loop::Watcher again;  // attaching
+  };
+  struct Out {  // an attempt
+    Key key;
+    std::size_t number = 0;  // of the export
+    Time sent = 0;
+    int path = 0;
+    std::shared_ptr<const nbd::CommandPayload> payload;
+    loop::Watcher limit;
+  };
+  struct Asked {  // of a box
+    std::size_t number = 0;
+    integrity::Io io;      // without its data
+    bool syncing = false;  // the write is done, and its flush is under way
+  };
+
+  void Post(core::Input input);
+  void OnIo(const core::Ended& ended);
+  void Attach(std::size_t number);
+  void Pump(std::size_t number);
+  void Launch(std::size_t number, integrity::Io io);
+  void Ask(const Asked& asked, nbd::Request request, int path);
+  void OnResult(std::size_t number, integrity::Result result);
+  void Judge(std::size_t number, const Out& out, const integrity::Result& result);
+  void Report(integrity::CommandId command, Outcome outcome, core::PayloadRef payload = nullptr);
+  void GiveUp(integrity::CommandId command, Outcome outcome);
+  void Tick(std::size_t number);
+  int Choose(const Export& e, const nbd::Request& request);
+  integrity::Place PlaceOf(const Export& e, std::uint64_t block) const;
+  void SaveLedger();
+
+  event_base* base_;
+  const nbd::Config& config_;
+  core::Post post_;
+  nbd::Boxes boxes_;
+  std::vector<Export> exports_;  // by the number of the configuration's volume; without a volume: not checked
+  std::map<std::string, integrity::Paths> paths_;  // by box
+  integrity::Cases cases_;
+  integrity::Ledger ledger_;
+  std::unique_ptr<integrity::LedgerFile> file_;
+  loop::Watcher save_;
+  bool saving_ = false;  // the timer runs: later verdicts must not put it off
+  std::map<integrity::CommandId, Out> out_;
+  std::map<Key, integrity::CommandId> commands_;
+  std::unordered_map<core::Serial, Asked> asked_;
+  integrity::CommandId next_command_ = 1;
+  core::Serial next_asked_;
+  Counts counts_;
+};
+
+}  // namespace walnutspur::checked
+
+#endif  // WALNUTSPUR_CHECKED_EXPORTS_H_
--- /dev/null
+++ b/src/checked/scrub.cpp
@@ -0,0 +1,159 @@
+#include "checked/scrub.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/owner.h"
+#include "nbd/payload.h"
+
+namespace walnutspur::checked {
+namespace {
+
+constexpr Time kReport = 200'000;   // us between reports of what live work feels
+constexpr Time kLook = 250'000;     // us between looks while only an event could let a job go
+constexpr Time kLeastTurn = 1'000;  // us
+
+}  // namespace
+
+Scrub::Scrub(event_base* base, const nbd::Config& config, const ScrubOptions& options, core::Serials* serials,
+             core::Post post)
+    : base_(base), config_(config), options_(options), serials_(serials), post_(std::move(post)) {
+  const Time now = core::Now();
+  for (std::size_t i = 0; i < config_.volumes.size(); ++i) {
+    const nbd::Volume& volume = config_.volumes[i];
+    if (!volume.checked) continue;
+    Box& box = boxes_[volume.box];
+    if (!box.budget) {
+      box.budget = std::make_unique<background::Budget>(options_.pressure);
+      box.turn = loop::MakeTimer(base_, [this, name = volume.box] { Turn(name); });
+    }
+    integrity::Scrubber scrubber(volume.front.size / integrity::kBlock, options_.chunk);
+    background::JobOptions job = options_.job;
+    job.name = volume.front.name;
+    job.usual_bytes = static_cast<double>(options_.chunk * integrity::kBlock);
+    background::Progress progress;
+    progress.total = scrubber.total();
+    jobs_.push_back({i, volume.box, box.budget->Add(job, progress, now), std::move(scrubber)});
+  }
+  report_ = loop::MakeTimer(base_, [this] { Report(); });
+  if (!options_.on) return;
+  report_.Start(kReport);
+  for (auto& [name, box] : boxes_) box.turn.Start(kLook);
+}
+
+// A second without any live request is calm as well.
+void Scrub::Report() {
+  background::Report report;
+  if (answers_ > 0) report.missed = static_cast<double>(missed_) / static_cast<double>(answers_);
+  report.bound = waiting_;
+  answers_ = missed_ = 0;
+  waiting_ = 0;
+  for (auto& [name, box] : boxes_) box.budget->Take(report, core::Now());
+  if (!stopped_) report_.Start(kReport);
+}
+
+void Scrub::Saw(const core::Answer& answer) {
+  ++answers_;
+  missed_ += !answer.in_aim;
+  waiting_ = std::max(waiting_, answer.waiting);
+}
+
+void Scrub::OnBox(const std::string& name, bool live, Time launched) {
+  const auto at = boxes_.find(name);
+  if (at == boxes_.end()) return;
+  at->second.live = live;
+  at->second.launched = launched;
+}
+
+void Scrub::Recheck(std::size_t number, std::uint64_t block) {
+  for (Job& job : jobs_) {
+    if (job.number == number) job.scrubber.Recheck(block);
+  }
+}
+
+void Scrub::Pause(bool paused) {
+  for (const Job& job : jobs_) {
+    background::Budget& budget = *boxes_.at(job.box).budget;
+    paused ? budget.Pause(job.id) : budget.Resume(job.id, core::Now());
+  }
+}
+
+void Scrub::Turn(const std::string& name) {
+  if (stopped_) return;
+  Box& box = boxes_.at(name);
+  const Time now = core::Now();
+  box.budget->Hold(!box.live || !Warm(box, now));
+  while (const auto granted = box.budget->Next(now)) {
+    for (std::size_t i = 0; i < jobs_.size(); ++i) {
+      if (jobs_[i].box == name && jobs_[i].id == *granted) Begin(i);
+    }
+  }
+  const auto next = box.budget->NextAt(now);
+  box.turn.Start(next ? std::clamp<Time>(*next - now, kLeastTurn, kLook) : kLook);
+}
+
+void Scrub::Begin(std::size_t number) {
+  Job& job = jobs_[number];
+  const auto range = job.scrubber.Next();
+  if (!range) return boxes_.at(job.box).budget->Return(job.id);
+  const nbd::Volume& volume = config_.volumes[job.number];
+  core::Arrived arrived;
+  arrived.serial = serials_->next++;
+  arrived.wire = core::Wire::kOwn;
+  arrived.what.request_class = options_.request_class;
+  arrived.what.plan = options_.plan;
+  arrived.what.volume = "scrub/" + volume.volume;
+  arrived.what.key = arrived.what.volume + "/" + std::to_string(range->first);
+  const auto bytes = static_cast<std::uint32_t>(range->count * integrity::kBlock);
+  arrived.what.units = nbd::UnitsOf(config_, bytes);
+  arrived.what.cell = volume.shard;
+  arrived.deadline = core::Now() + options_.patience;
+  auto payload = std::make_shared<nbd::CommandPayload>();
+  payload->request.type = nbd::kRead;
+  payload->request.offset = range->first * integrity::kBlock;
+  payload->request.length = bytes;
+  payload->remote = volume.remote;
+  payload->volume = static_cast<int>(job.number);
+  arrived.payload = std::move(payload);
+  Held& held = held_[arrived.serial];
+  held.job = number;
+  held.range = *range;
+  const core::Serial serial = arrived.serial;
+  held.deadline = loop::MakeTimer(base_, [this, serial] { post_(core::Expired{serial}); });
+  held.deadline.Start(options_.patience);
+  ++requests_;
+  post_(std::move(arrived));
+}
+
+void Scrub::Finish(const core::Answer& answer) {
+  const auto at = held_.find(answer.serial);
+  if (at == held_.end()) return;
+  const Held held = std::move(at->second);
+  held_.erase(at);
+  Job& job = jobs_[held.job];
+  const auto* partial = static_cast<const nbd::ReplyPayload*>(answer.payload.get());
+  // Damage that was found is an answer too: it is in the ledger.
+  const bool read = answer.verdict == core::Verdict::kServed || (partial && !partial->bad.empty());
+  int done = 0;
+  if (read) {
+    done = job.scrubber.Done(held.range);
+  } else {
+    job.scrubber.Failed(held.range);
+    ++failed_;
+  }
+  const std::uint64_t bytes = read ? held.range.count * integrity::kBlock : 0;
+  boxes_.at(job.box).budget->Done(job.id, static_cast<std::uint64_t>(done), bytes, core::Now());
+}
+
+std::vector<Scrub::Status> Scrub::status() const {
+  std::vector<Status> all;
+  for (const Job& job : jobs_) {
+    const background::Budget& budget = *boxes_.at(job.box).budget;
+    const background::Progress& progress = budget.progress(job.id);
+    all.push_back({config_.volumes[job.number].front.name, progress.position, progress.total, progress.rounds,
+                   budget.Rate(job.id, core::Now()), budget.in_flight(job.id)});
+  }
+  return all;
+}
+
+}  // namespace walnutspur::checked
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -7,7 +7,9 @@
 namespace walnutspur::core {
 
 Engine::Engine(const Settings& settings, std::uint64_t seed)
-    : scheduler_(settings, seed), try_limit_(settings.try_limit) {}
+    : scheduler_(settings, seed), try_limit_(settings.try_limit) {
+  for (const RequestClass& cls : settings.classes) aims_.push_back(cls.aim);
+}
 
 std::vector<Output> Engine::Start(Time now) {
   now_ = now;
@@ -45,6 +47,8 @@
   request.name = input.name;
   request.deadline = input.deadline;
   request.payload = input.payload;
+  const auto cls = static_cast<std::size_t>(input.what.request_class);
+  request.aim = now_ + (cls < aims_.size() ? aims_[cls] : 0);
   if (!requests_.emplace(input.serial, std::move(request)).second) return;
   Arrival arrival = input.what;
   arrival.id = std::to_string(input.serial);  // clients may use an id again later
@@ -96,7 +100,7 @@
   for (const ListEntry& entry : input.list.entries) {
     gone.erase(entry.target);
     if (entry.phase == Phase::kLive) {
-      live_.insert(entry.target);
+      if (live_.insert(entry.target).second) outputs_.push_back(Welcome{entry.target, entry.launched});
     } else if (live_.erase(entry.target) > 0 || input.list.mode != Mode::kDelta) {
       outputs_.push_back(Withdraw{entry.target});
     }
@@ -124,6 +128,8 @@
   done.others_got = input.others_got;
   done.report = input.report;
   request.out.erase(attempt);
+  --out_;
+  if (input.outcome == Outcome::kDamaged) request.partial = input.payload;
   if (input.outcome == Outcome::kCompleted) Finish(input.serial, Verdict::kServed, 0, input.payload);
   done.settled = request.answered;
   Play(done);
@@ -157,6 +163,7 @@
   }
   ++request.attempts;
   request.out.emplace(trial, action.target);
+  ++out_;
   const Time limit = action.try_for > 0 ? std::min(action.try_for, left) : left;
   outputs_.push_back(Attempt{at->first, trial, request.wire, action.target, limit, request.payload});
 }
@@ -164,7 +171,7 @@
 void Engine::Do(const Refuse& action) {
   const auto at = Find(action.id);
   if (at == requests_.end()) return;
-  Finish(at->first, Verdict::kRefused, action.hold_off, nullptr);
+  Finish(at->first, Verdict::kRefused, action.hold_off, at->second.partial);
   Forget(at->first);
 }
 
@@ -172,7 +179,7 @@
   const auto at = Find(action.id);
   if (at == requests_.end()) return;
   const bool late = now_ >= at->second.deadline;
-  Finish(at->first, late ? Verdict::kTimedOut : Verdict::kFailed, 0, nullptr);
+  Finish(at->first, late ? Verdict::kTimedOut : Verdict::kFailed, 0, at->second.partial);
   Forget(at->first);
 }
 
@@ -193,7 +200,11 @@
   const auto at = requests_.find(serial);
   if (at == requests_.end() || at->second.answered) return;
   at->second.answered = true;
-  outputs_.push_back(Answer{serial, at->second.wire, verdict, hold_off, std::move(payload)});
+  Answer answer{serial, at->second.wire, verdict, hold_off, std::move(payload)};
+  answer.in_aim = verdict == Verdict::kServed && now_ <= at->second.aim;
+  const auto open = static_cast<double>(requests_.size());
+  answer.waiting = std::max(0.0, (open - static_cast<double>(out_)) / open);
+  outputs_.push_back(std::move(answer));
 }
 
 // A request is forgotten once it is answered and nothing of it is out.
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -21,7 +21,8 @@
 
 using Serial = std::uint64_t;  // numbers the requests that one process has taken
 
-enum class Wire { kHttp, kNbd };  // whose front and connector a request belongs to
+// Whose front and connector a request belongs to; kOwn: the program's own work on what NBD reaches.
+enum class Wire { kHttp, kNbd, kOwn };
 
 // What passes through unchanged. Only the fronts and connectors of one wire look inside.
 struct Payload {
@@ -53,7 +54,7 @@
   int seen_use = 0;
   double others_got = 0;
   std::vector<double> report;
-  PayloadRef payload;  // the answer, if completed
+  PayloadRef payload;  // the answer, if completed; what is whole of it, if damaged
 };
 struct Listed {
   Membership list;
@@ -84,13 +85,19 @@
 struct Withdraw {  // nothing that is not on its way yet may go to the target any more
   TargetId target;
 };
+struct Welcome {  // work may go to the target, for the first time or again
+  TargetId target;
+  Time launched = 0;  // as discovery tells it; 0: long ago
+};
 enum class Verdict { kServed, kRefused, kFailed, kTimedOut, kRepeated };
 struct Answer {
   Serial serial = 0;
   Wire wire = Wire::kHttp;
   Verdict verdict = Verdict::kFailed;
-  Time hold_off = 0;  // refused: when to come back
-  PayloadRef payload;
+  Time hold_off = 0;    // refused: when to come back
+  PayloadRef payload;   // of a read that met damage and is not served: what is whole of it
+  bool in_aim = false;  // served within its class's aim
+  double waiting = 0;   // part of the open requests that wait in the module for a box's bound
 };
 struct Ring {
   std::int64_t mark = 0;
@@ -100,7 +107,7 @@
 struct Check {
   TargetId target;
 };
-using Output = std::variant<Attempt, Cancel, Withdraw, Answer, Ring, Watch, Check>;
+using Output = std::variant<Attempt, Cancel, Withdraw, Welcome, Answer, Ring, Watch, Check>;
 
 class Engine {
  public:
@@ -123,6 +130,8 @@
     Time deadline = 0;
     PayloadRef payload;
     bool answered = false;
+    Time aim = 0;        // until when an answer is in time
+    PayloadRef partial;  // of the last attempt that met damage
     int attempts = 0;
     std::map<int, TargetId> out;  // attempts without an outcome, by number
   };
@@ -152,6 +161,8 @@
 
   Scheduler scheduler_;
   int try_limit_;
+  std::vector<Time> aims_;  // by class
+  std::size_t out_ = 0;     // attempts without an outcome, of all requests
   Time now_ = 0;
   Requests requests_;
   std::set<std::string> names_;  // of those requests
--- a/src/integrity/blame.cpp
+++ b/src/integrity/blame.cpp
@@ -130,6 +130,20 @@
   return verdict;
 }
 
+std::set<int> Cases::PathsOf(const Place& place) const {
+  std::set<int> paths;
+  const auto at = open_.find(place);
+  if (at == open_.end()) return paths;
+  for (const Reading& r : at->second.readings) paths.insert(r.path);
+  return paths;
+}
+
+std::vector<Place> Cases::places() const {
+  std::vector<Place> all;
+  for (const auto& [place, open] : open_) all.push_back(place);
+  return all;
+}
+
 std::optional<Verdict> Cases::Judge(const std::vector<Reading>& readings, int paths) {
   const Reading& last = readings.back();
   Verdict verdict;
--- a/src/integrity/blame.h
+++ b/src/integrity/blame.h
@@ -119,6 +119,9 @@
   void Forget(const Place& place) { open_.erase(place); }
   std::size_t open() const { return open_.size(); }
   bool IsOpen(const Place& place) const { return open_.contains(place); }
+  // The paths by which an open case has been read; the next reading tells more by another one.
+  std::set<int> PathsOf(const Place& place) const;
+  std::vector<Place> places() const;
 
  private:
   struct Case {
--- a/src/integrity/volume.cpp
+++ b/src/integrity/volume.cpp
@@ -468,6 +468,8 @@
   if (!Check(op, &bad, &again)) return Load(op);
   if (again) return Load(op);
   if (reads) return FinishRead(op, std::move(bad));
+  // A write needs its blocks' generations: it looks again until it is sure of the tags.
+  if (!op.tags_bad.empty()) return Load(op);
   if (!bad.empty()) return Answer(op, Result::Status::kDamaged, "", std::move(bad));
   Journal(op);
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -34,6 +34,8 @@
     logger.emplace(settings.log);
     walnutspur::log::Use(&*logger);
     config.digests = settings.digests;
+    options.folder = settings.folder;
+    options.scrub = settings.scrub;
     if (options.nbd.empty()) options.nbd = settings.nbd;
   }
   walnutspur::app::Initiator initiator(std::move(config), options);
@@ -69,6 +71,14 @@
       case Action::kVersion:
         std::puts("walnutspur " WALNUTSPUR_VERSION);
         return 0;
+      case Action::kFormat:
+        return walnutspur::app::Format(command.integrity, stdout);
+      case Action::kSuper:
+        return walnutspur::app::ShowSuperblock(command.integrity, stdout);
+      case Action::kVerify:
+        return walnutspur::app::Verify(command.integrity, stdout);
+      case Action::kLedger:
+        return walnutspur::app::ShowLedger(command.integrity, stdout);
       case Action::kSaid:
         std::fputs(command.said.c_str(), command.code == 0 ? stdout : stderr);
         return command.code;
--- a/src/nbd/boxes.cpp
+++ b/src/nbd/boxes.cpp
@@ -40,9 +40,9 @@
 
 Boxes::Connection* Boxes::Open(const Place& place) {
   const auto box = std::find_if(config_.boxes.begin(), config_.boxes.end(),
-                                [&](const Box& b) { return b.id == place.first; });
+                                [&](const Box& b) { return b.id == place.box; });
   if (box == config_.boxes.end() || connections_.size() >= most_) return nullptr;
-  auto connection = std::make_unique<Connection>(place.second);
+  auto connection = std::make_unique<Connection>(place.remote);
   Connection* c = connection.get();
   c->owner = this;
   c->number = next_connection_++;
@@ -70,7 +70,8 @@
       },
       c);
   bufferevent_enable(c->stream.get(), EV_READ | EV_WRITE);
-  sockaddr_in address = loop::ToSocket(loop::ParseAddress(box->address));
+  sockaddr_in address =
+      loop::ToSocket(loop::ParseAddress(box->addresses[static_cast<std::size_t>(place.path)]));
   connections_[c->number] = std::move(connection);
   c->connect.Start(config_.dial);
   if (bufferevent_socket_connect(c->stream.get(), reinterpret_cast<sockaddr*>(&address), sizeof address) !=
@@ -86,7 +87,8 @@
   Out& out = out_[key];
   out.attempt = attempt;
   out.sent = core::Now();
-  const Place place{attempt.target, static_cast<const CommandPayload&>(*attempt.payload).remote};
+  const auto& command = static_cast<const CommandPayload&>(*attempt.payload);
+  const Place place{attempt.target, command.remote, command.path};
   Connection* c = Find(place);
   if (!c) c = Open(place);
   if (!c) return Report(key, Outcome::kRefusedConn);
@@ -183,7 +185,7 @@
 void Boxes::Withdraw(const TargetId& target) {
   std::vector<Connection*> unsent;
   for (const auto& [number, c] : connections_) {
-    if (c->place.first != target) continue;
+    if (c->place.box != target) continue;
     c->retired = true;
     const bool pending = std::any_of(c->in_flight.begin(), c->in_flight.end(),
                                      [&, &c = c](const auto& f) { return !Written(*c, f.first); });
--- a/src/nbd/boxes.h
+++ b/src/nbd/boxes.h
@@ -32,7 +32,12 @@
 
  private:
   using Key = std::pair<core::Serial, int>;
-  using Place = std::pair<TargetId, std::string>;  // a box and an export there
+  struct Place {  // an export at a box, by one of its addresses
+    TargetId box;
+    std::string remote;
+    int path = 0;
+    bool operator==(const Place&) const = default;
+  };
 
   struct Connection {
     explicit Connection(std::string remote) : session(std::move(remote)) {}
--- a/src/nbd/codec.cpp
+++ b/src/nbd/codec.cpp
@@ -272,6 +272,26 @@
   PutChunk(true, kError, cookie, data, out);
 }
 
+void ServerSession::Reply(std::uint64_t cookie, const std::vector<Piece>& pieces,
+                          const std::vector<std::uint64_t>& bad, std::string* out) const {
+  if (!structured_) return PutSimple(kIo, cookie, out);
+  for (const Piece& piece : pieces) {
+    std::string data;
+    Put(piece.offset, &data);
+    data += piece.data;
+    PutChunk(false, kOffsetData, cookie, data, out);
+  }
+  const std::string why = "the block is damaged";
+  for (std::size_t i = 0; i < bad.size(); ++i) {
+    std::string data;
+    Put<std::uint32_t>(kIo, &data);
+    Put(static_cast<std::uint16_t>(why.size()), &data);
+    data += why;
+    Put(bad[i], &data);
+    PutChunk(i + 1 == bad.size(), kErrorOffset, cookie, data, out);
+  }
+}
+
 // ---- the using side ----
 
 bool ClientSession::End(std::string why) {
@@ -396,7 +416,7 @@
   const std::size_t size = open.type == kRead && error == kOk ? open.length : 0;
   if (in_.size() < 16 + size) return false;
   in_.Skip(16);
-  Reply reply{cookie, static_cast<Error>(error), {}};
+  Reply reply{cookie, static_cast<Error>(error), {}, {}, {}};
   if (size > 0) reply.pieces.push_back({open.offset, in_.Take(size), 0});
   replies->push_back(std::move(reply));
   open_.erase(at);
@@ -423,12 +443,10 @@
   std::uint64_t covered = 0;
   for (const Piece& piece : open.pieces) covered += piece.size();
   if (open.error == kOk && open.type == kRead && covered != open.length) open.error = kIo;
-  Reply reply{cookie, open.error, {}};
-  if (open.error == kOk) {
-    std::sort(open.pieces.begin(), open.pieces.end(),
-              [](const Piece& a, const Piece& b) { return a.offset < b.offset; });
-    reply.pieces = std::move(open.pieces);
-  }
+  std::sort(open.pieces.begin(), open.pieces.end(),
+            [](const Piece& a, const Piece& b) { return a.offset < b.offset; });
+  Reply reply{cookie, open.error, {}, std::move(open.bad), {}};
+  (open.error == kOk ? reply.pieces : reply.partial) = std::move(open.pieces);
   replies->push_back(std::move(reply));
   open_.erase(at);
   return true;
@@ -444,6 +462,7 @@
     if (type == kError && data.size() != 6 + text) return false;
     if (type == kErrorOffset && data.size() != 14 + text) return false;
     open.error = static_cast<Error>(error);
+    if (type == kErrorOffset) open.bad.push_back(Get<std::uint64_t>(data, 6 + text));
     return true;
   }
   if (open.type != kRead || data.size() < 9) return false;
--- a/src/nbd/codec.h
+++ b/src/nbd/codec.h
@@ -106,6 +106,10 @@
   // Replies in the form that was negotiated.
   void Reply(std::uint64_t cookie, const std::vector<Piece>& pieces, std::string* out) const;  // to a read
   void Reply(std::uint64_t cookie, Error error, const std::string& message, std::string* out) const;
+  // To a read that met damage: the good pieces, and an error with the offset of each bad block. Where no
+  // structured replies were negotiated, an error and no data.
+  void Reply(std::uint64_t cookie, const std::vector<Piece>& pieces, const std::vector<std::uint64_t>& bad,
+             std::string* out) const;
 
  private:
   enum class State { kFlags, kOption, kOptionData, kHeader, kData, kSkip, kEnded };
@@ -128,7 +132,9 @@
 struct Reply {
   std::uint64_t cookie = 0;
   Error error = kOk;
-  std::vector<Piece> pieces;  // of a read, whole
+  std::vector<Piece> pieces;       // of a read, whole and in order; none if there is an error
+  std::vector<std::uint64_t> bad;  // offsets that errors were given for
+  std::vector<Piece> partial;      // what came beside an error
 };
 
 // The side that uses one export of a server.
@@ -157,6 +163,7 @@
     std::uint32_t length = 0;
     Error error = kOk;
     std::vector<Piece> pieces;
+    std::vector<std::uint64_t> bad;
   };
 
   bool Step(std::string* out, std::vector<Reply>* replies);
--- a/src/nbd/config.cpp
+++ b/src/nbd/config.cpp
@@ -6,6 +6,8 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "integrity/layout.h"
+
 namespace walnutspur::nbd {
 namespace {
 
@@ -64,6 +66,7 @@
       {"commands.flush", Kind::kText, 1, 256, "", "", {}, true, "the class of flushes"},
       {"box[].id", Kind::kText, 1, 256, "", "", {}, true, "as discovery lists it"},
       {"box[].address", Kind::kText, 3, 64, "", "", {}, true, "where it speaks NBD"},
+      {"box[].paths", Kind::kTexts, 3, 64, "", "", {}, false, "further addresses of the same box"},
       {"box[].listed", Kind::kBool, 0, 0, "", "true", {}, false, "whether discovery knows it"},
       {"export[].name", Kind::kText, 1, 4096, "", "", {}, true, "as clients ask for it"},
       {"export[].volume", Kind::kText, 1, 256, "", "", {}, true, "the volume's name in the decisions"},
@@ -72,7 +75,33 @@
       {"export[].hosts", Kind::kInteger, 1, 1 << 20, "", "1", {}, false, "initiators that reach it"},
       {"export[].box", Kind::kText, 1, 256, "", "", {}, true, "the box that holds it"},
       {"export[].remote", Kind::kText, 1, 4096, "", "", {}, false, "its name at the box; the same without"},
-      {"export[].size", Kind::kInteger, 1, 9.2e18, "bytes", "", {}, true, "of the export"},
+      {"export[].size",
+       Kind::kInteger,
+       1,
+       9.2e18,
+       "bytes",
+       "",
+       {},
+       true,
+       "of the export at the box; with checksums clients see less"},
+      {"export[].checksums",
+       Kind::kBool,
+       0,
+       0,
+       "",
+       "false",
+       {},
+       false,
+       "tags for its blocks in a region at its end, which `integrity format` lays out"},
+      {"export[].journal",
+       Kind::kInteger,
+       4 << 20,
+       1 << 30,
+       "bytes",
+       "4194304",
+       {},
+       false,
+       "with checksums: what writes wait in before they go in place"},
   };
   return keys;
 }
@@ -103,7 +132,10 @@
   for (const config::Table& t : tables("box")) {
     Box box;
     box.id = t.Text("id");
-    box.address = t.Text("address");
+    box.addresses = {t.Text("address")};
+    if (t.Has("paths")) {
+      for (const std::string& path : t.Texts("paths")) box.addresses.push_back(path);
+    }
     box.listed = t.Bool("listed");
     c.boxes.push_back(box);
   }
@@ -113,6 +145,17 @@
     v.front.size = static_cast<std::uint64_t>(t.Integer("size"));
     v.front.largest =
         static_cast<std::uint32_t>(std::min(kMostBytes, std::floor(settings.largest_units * c.unit_bytes)));
+    v.checked = t.Bool("checksums");
+    if (v.checked) {
+      v.raw = v.front.size;
+      v.journal = static_cast<std::uint64_t>(t.Integer("journal"));
+      const auto geometry = integrity::Fit(v.raw, v.journal);
+      if (!geometry)
+        throw std::runtime_error("export '" + v.front.name +
+                                 "' is smaller than its tags and journal; allowed are " +
+                                 std::to_string(v.journal + 16 * integrity::kBlock) + " bytes or more");
+      v.front.size = geometry->data_size();
+    }
     v.volume = t.Text("volume");
     v.plan = Index(plans, t.Text("plan"));
     v.shard = static_cast<int>(t.Integer("shard"));
--- a/src/nbd/config.h
+++ b/src/nbd/config.h
@@ -13,9 +13,9 @@
 namespace walnutspur::nbd {
 
 struct Box {
-  std::string id;       // as discovery lists it
-  std::string address;  // where it speaks NBD
-  bool listed = true;   // false: discovery does not know it; it is taken to be live
+  std::string id;                      // as discovery lists it
+  std::vector<std::string> addresses;  // where it speaks NBD: the paths to it
+  bool listed = true;                  // false: discovery does not know it; it is taken to be live
   int shard = 0;
 };
 
@@ -24,6 +24,9 @@
   Export front;
   std::string volume, box, remote;  // the volume's name in the module, the box and the name of its export
   int plan = 0, shard = 0, hosts = 1;
+  bool checked = false;       // the initiator keeps checksums of it
+  std::uint64_t raw = 0;      // checked: bytes of the export at the box, tags and journal included
+  std::uint64_t journal = 0;  // checked: bytes
 };
 
 struct Config {
--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -200,6 +200,9 @@
   arrived.what.volume = volume.volume;
   arrived.what.key = volume.volume + "/" + std::to_string(request.offset);
   arrived.what.units = UnitsOf(config_, request.length);
+  // A write of a checksummed export goes into the journal and later in place: the box does it twice.
+  if (volume.checked && request.type == kWrite)
+    arrived.what.units = std::min(2 * arrived.what.units, settings_.largest_units);
   arrived.what.cell = volume.shard;
   arrived.what.mounts = volume.hosts;
   const Time patience = settings_.classes[cls->second].deadline;
@@ -207,6 +210,7 @@
   auto payload = std::make_shared<CommandPayload>();
   payload->request = std::move(request);
   payload->remote = volume.remote;
+  if (volume.checked) payload->volume = static_cast<int>(&volume - config_.volumes.data());
   arrived.payload = std::move(payload);
   client.in_flight[cookie] = arrived.serial;
   const core::Serial serial = arrived.serial;
@@ -239,7 +243,12 @@
                                 ? "refused: come back in " + HoldOff(answer.hold_off)
                             : answer.verdict == core::Verdict::kTimedOut ? "timed out"
                                                                          : "failed";
-    client.session.Reply(cookie, ErrorOf(answer.verdict), why, &out);
+    const auto* partial = static_cast<const ReplyPayload*>(answer.payload.get());
+    if (partial && !partial->bad.empty()) {
+      client.session.Reply(cookie, partial->pieces, partial->bad, &out);
+    } else {
+      client.session.Reply(cookie, ErrorOf(answer.verdict), why, &out);
+    }
   }
   Write(client, out);
   bufferevent_enable(client.stream.get(), EV_READ);
--- a/src/nbd/payload.h
+++ b/src/nbd/payload.h
@@ -13,9 +13,12 @@
 struct CommandPayload : core::Payload {
   Request request;     // with the cookie of the client; a box gets one of its own
   std::string remote;  // the export at the box
+  int path = 0;        // by which of the box's addresses
+  int volume = -1;     // of the configuration, if the initiator keeps its checksums
 };
 struct ReplyPayload : core::Payload {
   std::vector<Piece> pieces;
+  std::vector<std::uint64_t> bad;  // offsets of damaged blocks, of which nothing is in the pieces
 };
 
 }  // namespace walnutspur::nbd
