Add make bench-integrity: damages, kills, the scrub beside live work, and what checksums cost

Need: the figures of end-to-end checksums must come from one command, with the program as a child process.

The scrub's floor is its plan's reserve now: on a plan of no rate the token buckets held it for minutes. The storage box can work on one command at a time.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 CONFIG ?= $(BALANCER_CONFIG)
 
-.PHONY: build test lint sanitize tsan run clean
+.PHONY: build bench-integrity test lint sanitize tsan run clean
 
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
@@ -26,6 +26,12 @@
 lint:
 	find src include tests examples -name '*.cpp' -o -name '*.h' | xargs clang-format --dry-run --Werror
 
+# SEED=N draws another run, SHORT=1 takes under a minute. Claims with figures, one JSON object last.
+bench-integrity:
+	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
+	cmake --build $(BUILD) -j4 --target walnutspur_main walnutspur_bench_integrity
+	$(BUILD)/walnutspur_bench_integrity $(BUILD)/walnutspur
+
 run: build
 	BALANCER_CONFIG=$(CONFIG) $(BUILD)/walnutspur
 
--- a/src/app/initiator.cpp
+++ b/src/app/initiator.cpp
@@ -97,8 +97,12 @@
   cls.worth = kScrubWorth;
   scrub.request_class = static_cast<int>(config_.settings.classes.size());
   config_.settings.classes.push_back(cls);
+  // The floor is the plan's reserve, the budget its rate; beyond the floor it has next to no part in what is
+  // left.
+  const double units = nbd::UnitsOf(nbd_, static_cast<std::uint32_t>(scrub.chunk * integrity::kBlock));
   Plan plan;
-  plan.rate = kScrubWorth;
+  plan.rate = scrub.job.requests_a_second * units;
+  plan.floor_rate = std::min(scrub.job.floor_a_second * units, plan.rate);
   plan.parts = kScrubWorth;
   plan.value_factor = kScrubWorth;
   scrub.plan = static_cast<int>(config_.settings.plans.size());
--- a/src/lab/box/box.cpp
+++ b/src/lab/box/box.cpp
@@ -16,6 +16,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "core/owner.h"
 #include "integrity/digest.h"
 #include "loop/address.h"
 
@@ -152,6 +153,11 @@
   options_.delay = us;
 }
 
+void Box::SetService(std::int64_t us) {
+  const std::lock_guard lock(mutex_);
+  options_.service = us;
+}
+
 void Box::OnAccept(int path, int fd) {
   auto made = std::make_unique<Connection>(exports_);
   Connection* c = made.get();
@@ -183,7 +189,13 @@
 }
 
 void Box::Send(Connection& c, std::string bytes) {
-  if (options_.delay == 0) {
+  std::int64_t wait = options_.delay;
+  if (options_.service > 0) {
+    const std::int64_t now = core::Now();
+    busy_until_ = std::max(busy_until_, now) + options_.service;
+    wait += busy_until_ - now;
+  }
+  if (wait == 0) {
     bufferevent_write(c.stream.get(), bytes.data(), bytes.size());
     return;
   }
@@ -193,7 +205,7 @@
     bufferevent_write(connection->stream.get(), bytes.data(), bytes.size());
     connection->delayed.erase(key);
   });
-  c.delayed[key].Start(options_.delay);
+  c.delayed[key].Start(wait);
 }
 
 void Box::OnRead(Connection& c) {
--- a/src/lab/box/box.h
+++ b/src/lab/box/box.h
@@ -39,10 +39,11 @@
   std::string export_name = "disk";
   std::uint64_t size = 64 << 20;
   std::uint64_t seed = 1;
-  int paths = 1;           // NBD listeners
-  bool http = false;       // and one that speaks HTTP
-  std::string file;        // the disk's bytes are read from it at the start and written to it at the end
-  std::int64_t delay = 0;  // us before each answer
+  int paths = 1;             // NBD listeners
+  bool http = false;         // and one that speaks HTTP
+  std::string file;          // the disk's bytes are read from it at the start and written to it at the end
+  std::int64_t delay = 0;    // us before each answer
+  std::int64_t service = 0;  // us of work a command; one at a time is worked on, the others wait in turn
   std::string host = "127.0.0.1";
   int first_port = 0;  // of the first listener, the others follow; 0: free ones
 };
@@ -66,6 +67,7 @@
   std::uint64_t struck(Damage damage) const;
   std::uint64_t commands() const;
   void SetDelay(std::int64_t us);
+  void SetService(std::int64_t us);
 
   // With the box's thread held off.
   template <typename Call>
@@ -95,6 +97,7 @@
   std::vector<Fault> faults_;
   std::map<Damage, std::uint64_t> struck_;
   std::uint64_t commands_ = 0;
+  std::int64_t busy_until_ = 0;
   std::map<std::string, std::string> objects_;  // by HTTP
   std::vector<nbd::Export> exports_;
   std::vector<int> ports_;
