--- a/bench/integrity.cpp
+++ b/bench/integrity.cpp
@@ -14,10 +14,13 @@
 #include <cstdlib>
 #include <cstring>
 #include <deque>
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <pcg_random.hpp>
 #include <set>
 #include <thread>
 
+#include "app/control.h"
 #include "core/owner.h"
 #include "http/reader.h"
 #include "integrity/crc32c.h"
@@ -36,7 +39,7 @@
 using lab::Damage;
 using nlohmann::json;
 
-std::string g_program;
+std::string g_program, g_box;
 std::uint64_t g_seed = 1;
 bool g_short = false;
 json g_figures = json::object();
@@ -59,25 +62,37 @@
     bool plain = false;  // a second box beside it, whose export is not checked
     std::int64_t service = 0;
     std::string settings;
+    bool process = false;  // the box is a child process, with one path
   };
 
-  explicit World(const Options& wanted) : options(wanted) {
-    lab::BoxOptions b;
-    b.size = kSize;
-    b.paths = options.paths;
-    b.http = true;
-    b.seed = g_seed;
-    b.service = options.service;
-    box = std::make_unique<lab::Box>(b);
-    box->WithDisk([](lab::Disk& disk) {
+  explicit World(const Options& wanted) : options(wanted), random(g_seed) {
+    const auto format = [](lab::Disk& disk) {
       for (const auto& io : integrity::FormatPlan(kSize, integrity::kUsualJournal, g_seed)) {
         if (io.kind == integrity::IoKind::kWrite) disk.Write(io.offset, io.data, true);
       }
-    });
-    box->Start();
+    };
+    int box_http = 0;
+    if (options.process) {
+      lab::Disk disk(kSize, g_seed, DiskFile());
+      format(disk);
+      while (!BeginBox()) box_port = lab::FreePort();
+      box_http = box_port + 1;
+    } else {
+      lab::BoxOptions b;
+      b.size = kSize;
+      b.paths = options.paths;
+      b.http = true;
+      b.seed = g_seed;
+      b.service = options.service;
+      box = std::make_unique<lab::Box>(b);
+      box->WithDisk(format);
+      box->Start();
+      box_port = box->port(0);
+      box_http = box->http_port();
+    }
     lab::Member member;
     member.id = "a";
-    member.host_port = "127.0.0.1:" + std::to_string(box->http_port());
+    member.host_port = "127.0.0.1:" + std::to_string(box_http);
     discovery.Set(member);
     nbd_port = lab::FreePort();
     http_port = lab::FreePort();
@@ -85,7 +100,7 @@
         "listen = \"127.0.0.1:" + std::to_string(nbd_port) +
         "\"\nunit_bytes = 65536\n[commands]\nread = \"read\"\nwrite = \"write\"\nflush = \"write\"\n"
         "[[box]]\nid = \"a\"\naddress = \"127.0.0.1:" +
-        std::to_string(box->port(0)) + "\"\npaths = [";
+        std::to_string(box_port) + "\"\npaths = [";
     for (int path = 1; path < options.paths; ++path)
       nbd += (path > 1 ? ", " : "") + std::string("\"127.0.0.1:") + std::to_string(box->port(path)) + "\"";
     const std::string common =
@@ -135,6 +150,19 @@
                                                     "\"\n" + options.settings);
     Begin();
   }
+  std::string DiskFile() const { return folder.path() + "/disk"; }
+  // Two ports side by side, NBD's and HTTP's; the same ones each time.
+  bool BeginBox() {
+    if (box_port == 0) box_port = lab::FreePort();
+    box_process = std::make_unique<lab::Process>(
+        std::vector<std::string>{g_box, "--size", std::to_string(kSize), "--file", DiskFile(), "--http",
+                                 "--port", std::to_string(box_port), "--seed", std::to_string(random())},
+        std::map<std::string, std::string>{}, folder.path() + "/box.log");
+    for (int i = 0; i < 500 && box_process->running(); ++i) {
+      if (lab::WaitForPort(box_port + 1, 10)) return true;
+    }
+    return false;
+  }
   void Begin() {
     program = std::make_unique<lab::Process>(
         std::vector<std::string>{g_program, "--config", config_file, "--settings", settings_file, "--nbd",
@@ -155,17 +183,17 @@
     return std::make_unique<nbd::BlockingClient>("127.0.0.1:" + std::to_string(nbd_port), name);
   }
   std::string Random(std::size_t size) {
+    const std::lock_guard lock(random_lock);
     std::string data(size, '\0');
-    box->WithDisk([&](lab::Disk& disk) {
-      for (std::size_t i = 0; i < size; i += 8) {
-        const std::uint64_t word = disk.random()();
-        std::memcpy(data.data() + i, &word, std::min<std::size_t>(8, size - i));
-      }
-    });
+    for (std::size_t i = 0; i < size; i += 8) {
+      const std::uint64_t word = random();
+      std::memcpy(data.data() + i, &word, std::min<std::size_t>(8, size - i));
+    }
     return data;
   }
   std::uint64_t Draw(std::uint64_t bound) {
-    return box->WithDisk([&](lab::Disk& disk) { return disk.Draw(bound); });
+    const std::lock_guard lock(random_lock);
+    return bound == 0 ? 0 : random() % bound;
   }
   // Until a checkpoint has brought all in place; a scrub goes on reading meanwhile.
   void InPlace() {
@@ -179,7 +207,11 @@
 
   Options options;
   lab::Folder folder;
-  std::unique_ptr<lab::Box> box;
+  std::mutex random_lock;
+  pcg64 random;
+  std::unique_ptr<lab::Box> box;  // or, where `process` is set:
+  std::unique_ptr<lab::Process> box_process;
+  int box_port = 0;
   lab::Discovery discovery;
   int nbd_port = 0, http_port = 0;
   std::string nbd_file, config_file, settings_file;
@@ -330,11 +362,19 @@
   const int wanted = Many(5000, 400);
   World w({1, false, 0, ""});
   HttpClient client(w.http_port);
-  int caught = 0, delivered = 0, failed = 0;
-  const Damage kinds[] = {Damage::kFlipPath, Damage::kLost, Damage::kTorn, Damage::kStale};
+  int caught = 0, delivered = 0, failed = 0, blamed = 0, alarms = 0;
+  const Damage kinds[] = {Damage::kFlipPath, Damage::kLost, Damage::kTorn, Damage::kStale, Damage::kAstray};
   std::uint64_t struck_before = 0;
+  std::map<std::string, bool> at_rest;  // damaged objects, and whether at rest
+  const auto name = [](std::uint64_t key) {
+    char text[64];
+    std::snprintf(text, sizeof text, "/api/00000003b4d60021/%016llx", static_cast<unsigned long long>(key));
+    return std::string(text);
+  };
+  // The first by name is where astray writes land.
+  client.Ask(true, 0, w.Random(300), nullptr);
   for (int i = 0; i < wanted; ++i) {
-    const Damage kind = kinds[i % 4];
+    const Damage kind = kinds[i % 5];
     const std::uint64_t key = 1 + static_cast<std::uint64_t>(i);
     std::string old = w.Random(300), now = w.Random(300), answer;
     bool ok = true;
@@ -348,21 +388,42 @@
       return false;
     };
     ok = put(old);
-    const bool at_write = kind == Damage::kLost || kind == Damage::kTorn;
+    const bool at_write = kind == Damage::kLost || kind == Damage::kTorn || kind == Damage::kAstray;
+    at_rest[name(key)] = at_write;
     if (at_write) w.box->Add({kind, -1, 0, 1});
     ok = ok && put(now);
     if (!at_write) w.box->Add({kind, -1, 0, 1});
     failed += !ok;
-    const int code = client.Ask(false, key, "", &answer);
+    // Read until one reading can be held against another; what the module asks again is a reading too.
+    int code = client.Ask(false, key, "", &answer);
     delivered += code == 200 && answer != now;
+    const bool first = code != 200 || answer == now;
+    for (int more = 0; more < 2; ++more) {
+      std::string other;
+      delivered += client.Ask(false, key, "", &other) == 200 && other != now;
+    }
     std::uint64_t struck = 0;
     for (const Damage k : kinds) struck += w.box->struck(k);
-    caught += struck > struck_before && (code != 200 || answer == now);
+    caught += struck > struck_before && first;
     struck_before = struck;
   }
-  Claim("1 damages over HTTP", caught == wanted && delivered == 0 && failed == 0,
+  poll(nullptr, 0, 1200);  // the ledger's file
+  integrity::Ledger ledger;
+  std::string what;
+  integrity::LedgerFile(w.folder.path()).Load(&ledger, &what);
+  for (const auto& [uri, rest] : at_rest) {
+    const auto* entry = ledger.Find({"a", uri, 0});
+    blamed += entry && entry->fault == (rest ? integrity::Fault::kRest : integrity::Fault::kMemory);
+  }
+  for (const auto& [place, entry] : ledger.entries())
+    alarms += !at_rest.contains(place.remote) && place.remote != name(0);
+  Claim("1 damages over HTTP", caught == wanted && delivered == 0 && failed == 0 && alarms == 0,
         std::to_string(caught) + " of " + std::to_string(wanted) + " caught, " + std::to_string(delivered) +
-            " delivered damaged, " + std::to_string(failed) + " writes not taken");
+            " delivered damaged, " + std::to_string(failed) + " writes not taken, " + std::to_string(alarms) +
+            " false alarms");
+  Claim("1 blame over HTTP", blamed == wanted,
+        std::to_string(blamed) + " of " + std::to_string(wanted) +
+            " (at rest, or the box's memory or its only path)");
 }
 
 // ---- 1. clean blocks ----
@@ -415,7 +476,7 @@
 void Kills() {
   const int wanted = Many(500, 40);
   constexpr std::uint64_t kBlocks = 64;
-  World w({1, false, 0, ""});
+  World w({1, false, 0, "", true});
   // Of each block: what may stand there. The last is the newest; a flush leaves that one alone.
   std::vector<std::vector<std::string>> may(kBlocks, {std::string(kBlock, '\0')});
   int lost = 0, alarms = 0, writes = 0, powers = 0, boxes = 0;
@@ -427,10 +488,11 @@
     const bool kill_box = w.Draw(3) == 0, power = kill_box && w.Draw(2) == 0;
     killer = std::thread([&, after] {
       poll(nullptr, 0, after);
-      if (kill_box) {
-        w.box->Stop();
+      if (power) {
+        w.box_process->Signal(SIGUSR2);
+        w.box_process->Wait(5000);
       } else {
-        w.program->Kill();
+        (kill_box ? w.box_process : w.program)->Kill();
       }
       killed = true;
     });
@@ -453,7 +515,7 @@
     killer.join();
     client.reset();
     w.program->Kill();
-    if (kill_box) w.box->Restart(power);
+    if (kill_box && !w.BeginBox()) throw std::runtime_error("the box does not start again");
     powers += power;
     boxes += kill_box;
     w.Begin();
@@ -481,22 +543,24 @@
     }
   }
   Claim("2 kills", lost == 0 && alarms == 0,
-        std::to_string(wanted) + " kills (" + std::to_string(boxes) + " of the box, " +
-            std::to_string(powers) + " with its power), " + std::to_string(writes) +
-            " writes: " + std::to_string(lost) + " blocks lost, " + std::to_string(alarms) + " false alarms");
+        std::to_string(wanted) + " kills (" + std::to_string(wanted - boxes) + " of the program and " +
+            std::to_string(boxes - powers) + " of the box by SIGKILL, " + std::to_string(powers) +
+            " of the box's power), " + std::to_string(writes) + " writes: " + std::to_string(lost) +
+            " blocks lost, " + std::to_string(alarms) + " false alarms");
 }
 
 // ---- 3. the scrub beside live work ----
 
 struct Served {
-  double in_time = 0, p99 = 0, scrubbed = 0;
+  double in_time = 0, p99 = 0;
+  double scrubbed = 0;  // reads a second
 };
 
 // Open loop: each read is due at its time, sent as soon as it is, and its latency counts from when it was
 // due.
-Served Ramp(bool scrub, std::uint64_t draw) {
+Served Ramp(bool scrub, std::uint64_t draw, double top) {
   const std::string settings = std::string("[scrub]\non = ") + (scrub ? "true" : "false") +
-                               "\nrequests = 200.0\nfloor = 5.0\nwish = 0.0\n";
+                               "\nrequests = 200.0\nfloor = 1.0\nwish = 0.0\n";
   World w({1, false, 0, settings});
   auto client = w.Connect();
   // Everywhere: what was never written is not asked of the box, and a scrub of it would cost nothing.
@@ -507,20 +571,24 @@
   poll(nullptr, 0, 500);
   pcg64 random(draw);
   const double seconds = g_short ? 3 : 8;
-  std::vector<double> due;  // from 80 to 420 a second, of 666 that the box can do
+  std::vector<double> due;  // from 80 to `top` a second, of 666 that the box can do
   for (double at = 0; at < seconds;) {
-    const double rate = 80 + 340 * at / seconds;
+    const double rate = 80 + (top - 80) * at / seconds;
     at += -std::log((static_cast<double>(random() % 1'000'000) + 1) / 1'000'001.0) / rate;
     due.push_back(at);
   }
-  const std::uint64_t before = w.box->commands();
+  const auto scrubbed = [&] {
+    const json status = json::parse(app::AskControl(app::ControlPath(w.folder.path()), "status"))["scrub"];
+    return scrub ? status["requests"].get<double>() - status["failed"].get<double>() : 0.0;
+  };
+  const double before = scrubbed();
   const Time start = core::Now() + 100'000;
   std::map<std::uint64_t, Time> sent;
   std::vector<double> took;
   std::size_t next = 0, in_time = 0, answered = 0;
   while (answered < due.size() && core::Now() < start + static_cast<Time>((seconds + 4) * 1e6)) {
     const Time now = core::Now();
-    while (next < due.size() && start + static_cast<Time>(due[next] * 1e6) <= now && sent.size() < 30) {
+    while (next < due.size() && start + static_cast<Time>(due[next] * 1e6) <= now && sent.size() < 400) {
       nbd::Request request;
       request.type = nbd::kRead;
       request.offset = random() % 512 * kBlock;
@@ -540,32 +608,40 @@
   Served served;
   served.in_time = static_cast<double>(in_time) / static_cast<double>(due.size());
   served.p99 = took.empty() ? 0 : took[took.size() * 99 / 100];
-  served.scrubbed = static_cast<double>(w.box->commands() - before) - static_cast<double>(due.size());
+  served.scrubbed = (scrubbed() - before) / (static_cast<double>(core::Now() - start) / 1e6);
   return served;
 }
 
-void ScrubBesideLive() {
-  const int pairs = Many(5, 2);
-  std::vector<double> ratio, p99;
+// Five pairs, with the scrub and without in turn, of one ramp to `top` reads a second.
+void Pairs(const std::string& name, double top, int pairs, bool slow) {
+  std::vector<double> p99;
   double on = 0, off = 0, least = 1e9;
   for (int i = 0; i < pairs; ++i) {
     const std::uint64_t draw = g_seed * 100 + static_cast<std::uint64_t>(i);
-    const bool first = i % 2 == 0;  // in turn
-    const Served a = Ramp(first, draw), b = Ramp(!first, draw);
+    const bool first = i % 2 == 0;
+    const Served a = Ramp(first, draw, top), b = Ramp(!first, draw, top);
     const Served& with = first ? a : b;
     const Served& without = first ? b : a;
     on += with.in_time;
     off += without.in_time;
     p99.push_back(with.p99 / without.p99);
-    least = std::min(least, with.scrubbed / (g_short ? 3 : 8));
+    least = std::min(least, with.scrubbed);
   }
   std::sort(p99.begin(), p99.end());
   const double middle = p99[p99.size() / 2];
-  Claim("3 service beside the scrub", on >= 0.995 * off,
+  Claim("3 service beside the scrub, " + name, on >= 0.995 * off,
         "in time " + std::to_string(on / pairs) + " with, " + std::to_string(off / pairs) + " without");
-  Claim("3 p99 beside the scrub", middle <= 1.02, "median ratio " + std::to_string(middle));
-  Claim("3 the scrub moves", least >= 4,
-        "at least " + std::to_string(least) + " reads a second; the floor is 5");
+  if (slow)
+    Claim("3 p99 beside the scrub, " + name, middle <= 1.02, "median ratio " + std::to_string(middle));
+  Claim("3 the scrub moves, " + name, least >= 0.8,
+        "at least " + std::to_string(least) + " reads a second; the floor is 1");
+}
+
+void ScrubBesideLive() {
+  Pairs("to 93 % of the box", 620, Many(5, 1), true);
+  // More than the box can do: now live work misses its aim, scrub or none, and any read of the scrub costs it
+  // one.
+  Pairs("to 135 % of the box", 900, Many(5, 1), false);
 }
 
 // ---- 4. cost ----
@@ -636,6 +712,7 @@
     return 2;
   }
   g_program = argv[1];
+  g_box = g_program + "_box";     // built beside it
   std::signal(SIGPIPE, SIG_IGN);  // what is killed here leaves connections behind
   if (const char* seed = std::getenv("SEED")) g_seed = std::strtoull(seed, nullptr, 10);
   g_short = std::getenv("SHORT") != nullptr;
--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -24,6 +24,7 @@
       "  walnutspur serve --config config.json --settings walnutspur.toml\n"
       "  walnutspur check deploy/walnutspur.toml deploy/nbd.toml\n"
       "  walnutspur integrity format 127.0.0.1:10810 clinic-calendar\n"
+      "  walnutspur integrity status /var/lib/walnutspur\n"
       "Exit codes: 0 done, 1 it could not be done or a file is wrong, 2 the command line is wrong.");
   cli.add_option("--config", command.config, "The platform's configuration (JSON), before BALANCER_CONFIG");
   cli.add_option("--settings", command.settings, "Our own settings (TOML); see `walnutspur example`");
@@ -37,8 +38,8 @@
       ->required();
   CLI::App* example = cli.add_subcommand("example", "Print our settings with their defaults, commented");
   CLI::App* version = cli.add_subcommand("version", "Print the version");
-  CLI::App* integrity =
-      cli.add_subcommand("integrity", "Checksummed exports, offline, and the damage ledger");
+  CLI::App* integrity = cli.add_subcommand(
+      "integrity", "Checksummed exports, offline or of a running process, and the damage ledger");
   integrity->require_subcommand(1);
   const auto on_export = [&](const char* name, const char* what) {
     CLI::App* sub = integrity->add_subcommand(name, what);
@@ -57,6 +58,11 @@
       on_export("verify", "Read every block and hold it against its tag; exit code 1 if one is damaged");
   CLI::App* ledger = integrity->add_subcommand("ledger", "Print the damage ledger of a folder");
   ledger->add_option("FOLDER", command.integrity.folder, "The settings' integrity.folder")->required();
+  CLI::App* ask = integrity->add_subcommand("status", "What a running process knows, as JSON");
+  ask->add_option("FOLDER", command.integrity.folder, "The process's integrity.folder")->required();
+  CLI::App* scrub = integrity->add_subcommand("scrub", "Tell a running process's scrub something");
+  scrub->add_option("FOLDER", command.integrity.folder, "The process's integrity.folder")->required();
+  scrub->add_option("WORDS", command.integrity.words, "pause, resume, or recheck EXPORT BLOCK")->required();
   try {
     std::reverse(arguments.begin(), arguments.end());  // as the library wants a vector
     cli.parse(std::move(arguments));
@@ -77,6 +83,8 @@
   if (format->parsed()) command.action = Action::kFormat;
   if (super->parsed()) command.action = Action::kSuper;
   if (verify->parsed()) command.action = Action::kVerify;
+  if (ask->parsed()) command.integrity.words = {"status"};
+  if (ask->parsed() || scrub->parsed()) command.action = Action::kAsk;
   if (ledger->parsed()) command.action = Action::kLedger;
   return command;
 }
--- a/src/app/command_line.h
+++ b/src/app/command_line.h
@@ -10,7 +10,7 @@
 
 namespace walnutspur::app {
 
-enum class Action { kServe, kCheck, kExample, kVersion, kFormat, kSuper, kVerify, kLedger, kSaid };
+enum class Action { kServe, kCheck, kExample, kVersion, kFormat, kSuper, kVerify, kLedger, kAsk, kSaid };
 
 struct Command {
   Action action = Action::kServe;
--- a/src/app/initiator.cpp
+++ b/src/app/initiator.cpp
@@ -1,14 +1,19 @@
 #include "app/initiator.h"
 
 #include <event2/thread.h>
+#include <malloc.h>
 
 #include <algorithm>
+#include <charconv>
 #include <csignal>
 #include <cstdio>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <stdexcept>
 #include <utility>
 
+#include "integrity/cursor.h"
+#include "keep/whole_file.h"
 #include "log/log.h"
 
 namespace walnutspur::app {
@@ -18,15 +23,17 @@
 // us before the end: until then clients go on with the connections they have, and what they would ask then
 // reaches no other initiator; long enough for kLook and for answers to be read.
 constexpr Time kClose = 200'000;
-constexpr Time kAnswer = 100'000;                // us before the end by which all is answered
-constexpr std::size_t kMostNbd = 64;             // clients, and connections to boxes
-constexpr int kNbdPart = 16;                     // of the descriptors each has one in so many
-constexpr std::size_t kMostRecorded = 64 << 20;  // bytes: files count as memory
-constexpr Time kLook = 50'000;                   // us between looks whether all is answered
-constexpr Time kLongestMost = 3'000'000;         // us; the platform counts a longer deadline as this one
-constexpr Time kScrubPatience = 5'000'000;       // us that a scrub's read may wait for its turn
-constexpr double kScrubWorth = 0.01;             // of its class and of its plan
-constexpr Time kKilled = 600'000;                // us after the longest deadline; SIGKILL comes at 0.7 s
+constexpr Time kAnswer = 100'000;                 // us before the end by which all is answered
+constexpr std::size_t kMostNbd = 64;              // clients, and connections to boxes
+constexpr int kNbdPart = 16;                      // of the descriptors each has one in so many
+constexpr std::size_t kMostRecorded = 64 << 20;   // bytes: files count as memory
+constexpr Time kLook = 50'000;                    // us between looks whether all is answered
+constexpr Time kLongestMost = 3'000'000;          // us; the platform counts a longer deadline as this one
+constexpr Time kScrubPatience = 5'000'000;        // us that a scrub's read may wait for its turn
+constexpr int kKeptMemory = 4 << 20;              // bytes that free leaves with the program
+constexpr const char* kCursors = "scrub.cursor";  // in the folder
+constexpr double kScrubWorth = 0.01;              // of its class and of its plan
+constexpr Time kKilled = 600'000;                 // us after the longest deadline; SIGKILL comes at 0.7 s
 
 loop::BaseRef MakeBase() {
   static const int threads = evthread_use_pthreads();
@@ -43,7 +50,17 @@
   outputs_ = loop::Watcher(base_.get(), -1, EV_PERSIST, [this] {
     for (const core::Output& output : owner_->Take()) std::visit([this](const auto& o) { Do(o); }, output);
   });
+  damages_ = std::make_unique<checked::Damages>(base_.get(), options.folder);
   targets_ = std::make_unique<http::Targets>(base_.get(), config_, post);
+  // By HTTP a box has one path, and a whole object is what is damaged or not.
+  targets_->on_checked = [this](const TargetId& target, const std::string& uri, bool good,
+                                const std::string& body) {
+    if (good && damages_->calm()) return;
+    integrity::Reading reading;
+    reading.good = good;
+    reading.found = integrity::DataSum(body);
+    damages_->Note({target, uri, 0}, 1, reading, core::Now());
+  };
   front_ = std::make_unique<http::Front>(base_.get(), config_, &serials_, post);
   if (!options.nbd.empty()) StartNbd(options, post);
   if (!options.record.empty()) {
@@ -75,6 +92,87 @@
     OnList({walnutspur::Mode::kCached, known.entries}, known);
   }
   if (!options.replay.empty()) StartReplay(options.replay);
+  if (options.folder.empty()) return;
+  try {  // the program serves without it as well
+    control_ = std::make_unique<Control>(base_.get(), ControlPath(options.folder),
+                                         [this](const Control::Words& words) { return Tell(words); });
+  } catch (const std::exception& error) {
+    log::Event(log::Level::kError, "no_control_socket", {{"what", error.what()}});
+  }
+}
+
+std::string Initiator::Tell(const Control::Words& words) {
+  const std::string word = words.empty() ? "" : words[0];
+  if (word == "status" && words.size() == 1) return Status();
+  if (word != "pause" && word != "resume" && word != "recheck")
+    return "error: unknown command; allowed are status, pause, resume and recheck EXPORT BLOCK\n";
+  if (!scrub_) return "error: there is no scrub: [scrub] on is false, or no export has checksums\n";
+  if (word != "recheck") {
+    scrub_->Pause(word == "pause");
+    return "ok\n";
+  }
+  if (words.size() != 3) return "error: recheck takes an export's name and a block's number\n";
+  std::uint64_t block = 0;
+  const std::string& number = words[2];
+  const auto read = std::from_chars(number.data(), number.data() + number.size(), block);
+  for (std::size_t i = 0; i < nbd_.volumes.size(); ++i) {
+    const nbd::Volume& volume = nbd_.volumes[i];
+    if (!volume.checked || volume.front.name != words[1]) continue;
+    const std::uint64_t blocks = volume.front.size / integrity::kBlock;
+    if (read.ec != std::errc() || read.ptr != number.data() + number.size() || block >= blocks)
+      return "error: " + number + " is no block of the export; allowed are 0 to " +
+             std::to_string(blocks - 1) + "\n";
+    scrub_->Recheck(i, block);
+    return "ok\n";
+  }
+  return "error: there is no export " + words[1] + " with checksums\n";
+}
+
+std::string Initiator::Status() {
+  using nlohmann::json;
+  json all = {{"ledger",
+               {{"damaged", damages_->ledger().bad()},
+                {"all", damages_->ledger().entries().size()},
+                {"dropped", damages_->ledger().dropped()},
+                {"open_cases", damages_->cases().open()}}},
+              {"exports", json::array()},
+              {"paths", json::array()},
+              {"scrub", {{"on", scrub_ != nullptr}, {"paused", scrub_ && scrub_->paused()}}}};
+  for (std::size_t i = 0; i < nbd_.volumes.size(); ++i) {
+    const integrity::Volume* volume = boxes_->volume(i);
+    if (!volume) continue;
+    using State = integrity::Volume::State;
+    const State state = volume->state();
+    json one = {{"name", nbd_.volumes[i].front.name},
+                {"box", nbd_.volumes[i].box},
+                {"state", state == State::kReady    ? "ready"
+                          : state == State::kBroken ? "broken"
+                                                    : "attaching"},
+                {"open", volume->open()}};
+    if (state == State::kBroken) one["why"] = volume->why();
+    if (state == State::kReady)
+      one.update({{"journal", volume->super().geometry.journal_size},
+                  {"journal_used", volume->journal_used()},
+                  {"checkpoints", volume->checkpoints()},
+                  {"lost_in_journal", volume->bad().size()}});
+    all["exports"].push_back(std::move(one));
+  }
+  if (boxes_) {
+    for (const auto& path : boxes_->paths())
+      all["paths"].push_back(
+          {{"box", path.box}, {"path", path.path}, {"state", integrity::NameOf(path.state)}});
+  }
+  if (scrub_) {
+    all["scrub"].update({{"requests", scrub_->requests()}, {"failed", scrub_->failed()}});
+    for (const auto& job : scrub_->status())
+      all["scrub"]["exports"].push_back({{"name", job.name},
+                                         {"position", job.position},
+                                         {"total", job.total},
+                                         {"rounds", job.rounds},
+                                         {"rate", job.rate},
+                                         {"in_flight", job.in_flight}});
+  }
+  return all.dump(2) + "\n";
 }
 
 void Initiator::StartNbd(const Options& options, const core::Post& post) {
@@ -83,10 +181,16 @@
   nbd_.dial = std::min(nbd_.dial, config_.dial);
   const std::size_t most =
       std::clamp<std::size_t>(static_cast<std::size_t>(config_.sockets / kNbdPart), 1, kMostNbd);
-  boxes_ = std::make_unique<checked::Exports>(base_.get(), nbd_, most, options.folder, post);
+  boxes_ = std::make_unique<checked::Exports>(base_.get(), nbd_, most, damages_.get(), post);
   nbd_front_ = std::make_unique<nbd::Front>(base_.get(), nbd_, config_.settings, most, &serials_, post);
   const bool checks =
       std::any_of(nbd_.volumes.begin(), nbd_.volumes.end(), [](const auto& v) { return v.checked; });
+  // Buffers of a record or a checkpoint would else come from and go back to the kernel each time, page by
+  // page.
+  if (checks) {
+    mallopt(M_MMAP_THRESHOLD, kKeptMemory);
+    mallopt(M_TRIM_THRESHOLD, kKeptMemory);
+  }
   if (checks && options.scrub.on) AddScrub(options.scrub, post);
 }
 
@@ -108,6 +212,16 @@
   scrub.plan = static_cast<int>(config_.settings.plans.size());
   config_.settings.plans.push_back(plan);
   scrub.warm_up = config_.settings.rules.warm_up;
+  if (keep::Keeper* keeper = damages_->keeper()) {
+    const std::string path = damages_->folder() + "/" + kCursors;
+    std::string what;
+    if (const auto bytes = keep::ReadWhole(path)) {
+      const auto cursors = integrity::DecodeCursors(*bytes, &what);
+      if (cursors) scrub.cursors = *cursors;
+      if (!cursors) log::Event(log::Level::kWarn, "scrub_begins_anew", {{"file", path}, {"what", what}});
+    }
+    scrub.keep_cursors = [keeper](std::string bytes) { keeper->Put(kCursors, std::move(bytes)); };
+  }
   scrub_ = std::make_unique<checked::Scrub>(base_.get(), nbd_, scrub, &serials_, post);
   boxes_->on_suspicion = [this](std::size_t number, std::uint64_t block) { scrub_->Recheck(number, block); };
 }
--- a/src/app/initiator.h
+++ b/src/app/initiator.h
@@ -9,6 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include "app/control.h"
+#include "checked/damages.h"
 #include "checked/exports.h"
 #include "checked/scrub.h"
 #include "core/owner.h"
@@ -28,7 +30,8 @@
 struct Options {
   std::string nbd;     // the file of the NBD front; empty: there is none
   std::string record;  // the pcap file that the traffic served is written to
-  std::string folder;  // where the damage ledger is kept; empty: in memory only
+  std::string
+      folder;  // of the damage ledger, the scrub's cursors and the control socket; empty: none of them
   checked::ScrubOptions scrub;
   std::string replay;  // the pcap file whose streams are played to the fronts; then the initiator ends
 };
@@ -54,6 +57,7 @@
   nbd::Front* nbd_front() { return nbd_front_.get(); }
   const pcap::Player* player() const { return player_.get(); }
   std::size_t box_connections() const { return boxes_ ? boxes_->connections() : 0; }
+  const checked::Damages& damages() const { return *damages_; }
   checked::Exports* exports() { return boxes_.get(); }
   checked::Scrub* scrub() { return scrub_.get(); }
 
@@ -75,6 +79,8 @@
 
   void StartNbd(const Options& options, const core::Post& post);
   void AddScrub(checked::ScrubOptions scrub, const core::Post& post);
+  std::string Tell(const Control::Words& words);  // what an operator asks by the control socket
+  std::string Status();
   void StartReplay(const std::string& path);
   core::Front& front(core::Wire wire);
   std::vector<core::Front*> fronts();
@@ -89,8 +95,10 @@
   std::unique_ptr<http::Targets> targets_;
   std::unique_ptr<http::Discovery> discovery_;
   std::unique_ptr<nbd::Front> nbd_front_;
+  std::unique_ptr<checked::Damages> damages_;
   std::unique_ptr<checked::Exports> boxes_;
   std::unique_ptr<checked::Scrub> scrub_;
+  std::unique_ptr<Control> control_;
   std::unique_ptr<pcap::Player> player_;
   std::uint64_t next_ring_ = 0;
   std::map<std::uint64_t, loop::Watcher> rings_;
--- a/src/app/integrity_tool.cpp
+++ b/src/app/integrity_tool.cpp
@@ -9,6 +9,7 @@
 #include <stdexcept>
 #include <vector>
 
+#include "app/control.h"
 #include "integrity/layout.h"
 #include "integrity/ledger.h"
 #include "integrity/volume.h"
@@ -157,6 +158,15 @@
   return bad == 0 ? 0 : 1;
 }
 
+int AskProcess(const IntegrityOptions& options, std::FILE* out) {
+  std::string line;
+  for (const std::string& word : options.words) line += (line.empty() ? "" : " ") + word;
+  const std::string answer = AskControl(ControlPath(options.folder), line);
+  if (answer.starts_with("error: ")) throw std::runtime_error(answer.substr(7, answer.find('\n') - 7));
+  std::fputs(answer.c_str(), out);
+  return 0;
+}
+
 int ShowLedger(const IntegrityOptions& options, std::FILE* out) {
   Ledger ledger;
   std::string what;
--- /dev/null
+++ b/src/checked/damages.cpp
@@ -0,0 +1,61 @@
+#include "checked/damages.h"
+
+#include <utility>
+
+#include "keep/whole_file.h"
+#include "log/log.h"
+
+namespace walnutspur::checked {
+namespace {
+
+constexpr Time kSave = 1'000'000;  // us from a verdict to the ledger's file: one save for many
+const std::string kLedger = "damage.ledger";
+
+}  // namespace
+
+Damages::Damages(event_base* base, const std::string& folder) : folder_(folder) {
+  if (folder.empty()) return;
+  file_ = std::make_unique<integrity::LedgerFile>(folder);
+  std::string what;
+  if (file_->Load(&ledger_, &what) == integrity::LedgerFile::Found::kRefused)
+    log::Event(log::Level::kError, "ledger_refused", {{"what", what}});
+  keeper_ = std::make_unique<keep::Keeper>(
+      [this](const std::string& name, const std::string& bytes, std::string* why) {
+        return name == kLedger ? file_->Write(bytes, why) : keep::WriteWhole(folder_, name, bytes, why);
+      },
+      [](const std::string& why) {
+        if (why.empty()) return log::Event(log::Level::kWarn, "folder_works_again", {});
+        log::Event(log::Level::kError, "folder_not_written", {{"what", why}});
+      });
+  save_ = loop::MakeTimer(base, [this] { Save(); });
+}
+
+Damages::~Damages() {
+  if (keeper_ && ledger_.changed()) Save();
+}
+
+void Damages::Save() {
+  saving_ = false;
+  keeper_->Put(kLedger, ledger_.Encode());
+}
+
+std::optional<integrity::Verdict> Damages::Note(const integrity::Place& place, int paths,
+                                                const integrity::Reading& reading, Time now) {
+  if (!reading.good) ++mismatches_;
+  auto verdict = cases_.Note(place, paths, reading, now);
+  if (reading.good) ledger_.Mend(place, now);
+  if (verdict) {
+    ++verdicts_;
+    ledger_.Note(place, *verdict, now);
+    log::Event(log::Level::kError, "damage",
+               {{"box", place.box},
+                {"export", place.remote},
+                {"block", std::to_string(place.block)},
+                {"fault", integrity::NameOf(verdict->fault)},
+                {"path", std::to_string(verdict->path)}});
+  }
+  if (keeper_ && ledger_.changed() && !std::exchange(saving_, true)) save_.Start(kSave);
+  return verdict;
+}
+
+}  // namespace walnutspur::checked
--- a/src/checked/exports.cpp
+++ b/src/checked/exports.cpp
@@ -23,28 +23,19 @@
 constexpr Time kAtRest = 200'000;       // us without writes after which a checkpoint begins
 constexpr Time kMostDirty = 1'000'000;  // us after which one begins in any case
 constexpr Time kLeastRest = 250'000, kMostRest = 5'000'000;  // us between tries at a box that fails
-constexpr Time kSave = 1'000'000;  // us from a verdict to the ledger's file: one save for many
-
-log::Field Number(const char* name, std::uint64_t value) { return {name, std::to_string(value)}; }
 
 }  // namespace
 
-Exports::Exports(event_base* base, const nbd::Config& config, std::size_t most, const std::string& folder,
+Exports::Exports(event_base* base, const nbd::Config& config, std::size_t most, Damages* damages,
                  core::Post post)
     : base_(base),
       config_(config),
+      damages_(damages),
       post_(std::move(post)),
       boxes_(base, config, most, [this](core::Input input) { Post(std::move(input)); }),
       next_asked_(kOwn) {
   for (const nbd::Box& box : config_.boxes)
     paths_.emplace(box.id, integrity::Paths(static_cast<int>(box.addresses.size())));
-  if (!folder.empty()) {
-    file_ = std::make_unique<integrity::LedgerFile>(folder);
-    std::string what;
-    if (file_->Load(&ledger_, &what) == integrity::LedgerFile::Found::kRefused)
-      log::Event(log::Level::kError, "ledger_refused", {{"what", what}});
-    save_ = loop::MakeTimer(base_, [this] { SaveLedger(); });
-  }
   exports_.resize(config_.volumes.size());
   for (std::size_t i = 0; i < exports_.size(); ++i) {
     exports_[i].config = &config_.volumes[i];
@@ -56,14 +47,16 @@
   }
 }
 
-Exports::~Exports() {
-  if (file_ && ledger_.changed()) SaveLedger();
-}
-
-void Exports::SaveLedger() {
-  saving_ = false;
-  std::string what;
-  if (!file_->Save(ledger_, &what)) log::Event(log::Level::kError, "ledger_not_saved", {{"what", what}});
+std::vector<Exports::PathStatus> Exports::paths() {
+  std::vector<PathStatus> all;
+  std::set<std::string> told;
+  for (const Export& e : exports_) {
+    if (!e.volume || !told.insert(e.config->box).second) continue;
+    const int count = paths_.at(e.config->box).count();
+    for (int path = 0; path < count; ++path)
+      all.push_back({e.config->box, path, PathOf(e.config->box, path)});
+  }
+  return all;
 }
 
 integrity::PathState Exports::PathOf(const std::string& box, int path) {
@@ -140,17 +133,18 @@
   request.offset = io.kind == IoKind::kFlush ? 0 : io.offset;
   request.length = io.length;
   request.data = std::move(io.data);
+  std::vector<integrity::Slice> tail = std::move(io.tail);
   const auto out = out_.find(io.command);
   const int path = out != out_.end() ? out->second.path : Choose(e, request);
-  Asked asked{number, io, false};
-  asked.io.data = std::string();
-  Ask(asked, std::move(request), path);
+  Asked asked{number, std::move(io), false};
+  Ask(asked, std::move(request), path, std::move(tail));
 }
 
-void Exports::Ask(const Asked& asked, nbd::Request request, int path) {
+void Exports::Ask(const Asked& asked, nbd::Request request, int path, std::vector<integrity::Slice> tail) {
   const Export& e = exports_[asked.number];
   auto payload = std::make_shared<nbd::CommandPayload>();
   payload->request = std::move(request);
+  payload->tail = std::move(tail);
   payload->remote = e.config->remote;
   payload->path = path;
   core::Attempt attempt;
@@ -169,6 +163,19 @@
   post_(std::move(input));
 }
 
+// The order that the journal rests on is a flush's to keep, over all connections: before anything is written
+// the box must have said that it can.
+bool Exports::Fits(const Export& e) const {
+  const auto flags = boxes_.flags(e.config->box, e.config->remote);
+  if (!flags) return false;  // the connection has ended meanwhile: the next try asks again
+  if ((*flags & nbd::kSendFlush) && (*flags & (nbd::kSendFua | nbd::kCanMultiConn))) return true;
+  log::Event(log::Level::kError, "box_unfit",
+             {{"box", e.config->box},
+              {"export", e.config->front.name},
+              {"what", "checksums need a box that offers FLUSH, and FUA or CAN_MULTI_CONN"}});
+  return false;
+}
+
 void Exports::OnIo(const core::Ended& ended) {
   const auto at = asked_.find(ended.serial);
   if (at == asked_.end()) return;
@@ -187,9 +194,14 @@
     return Ask(asked, std::move(flush), Choose(e, flush));
   }
   if (end == IoEnd::kDone && asked.io.fua && !asked.syncing) end = IoEnd::kFailed;
+  if (e.volume->state() == Volume::State::kAttaching && !Fits(e)) end = IoEnd::kFailed;
   std::string data;
   if (end == IoEnd::kDone && asked.io.kind == IoKind::kRead) {
-    for (const nbd::Piece& piece : static_cast<const nbd::ReplyPayload&>(*ended.payload).pieces)
+    // What the boxes made for this attempt alone: its bytes may be taken out of it.
+    auto payload = std::const_pointer_cast<core::Payload>(ended.payload);
+    auto& pieces = static_cast<nbd::ReplyPayload&>(*payload).pieces;
+    if (pieces.size() == 1 && pieces[0].hole == 0) data = std::exchange(pieces[0].data, {});
+    for (const nbd::Piece& piece : pieces)
       piece.hole > 0 ? data.append(piece.hole, '\0') : data.append(piece.data);
   }
   e.volume->Ended(asked.io.id, end, std::move(data));
@@ -202,10 +214,10 @@
 int Exports::Choose(const Export& e, const nbd::Request& request) {
   integrity::Paths& paths = paths_.at(e.config->box);
   std::set<int> avoid;
-  if (paths.count() > 1 && cases_.open() > 0 && request.type == nbd::kRead && request.length > 0) {
+  if (paths.count() > 1 && damages_->cases().open() > 0 && request.type == nbd::kRead && request.length > 0) {
     const std::uint64_t last = (request.offset + request.length - 1) / integrity::kBlock;
     for (std::uint64_t block = request.offset / integrity::kBlock; block <= last; ++block) {
-      for (const int path : cases_.PathsOf(PlaceOf(e, block))) avoid.insert(path);
+      for (const int path : damages_->cases().PathsOf(PlaceOf(e, block))) avoid.insert(path);
     }
   }
   return paths.Choose(core::Now(), avoid);
@@ -235,7 +247,7 @@
                                                         : Kind::kFlush;
   command.offset = payload->request.offset;
   command.length = payload->request.length;
-  command.data = payload->request.data;
+  command.data = {payload, payload->request.data};
   command.fua = (payload->request.flags & nbd::kFua) != 0;
   ++(command.kind == Kind::kRead ? counts_.reads : counts_.writes);
   e.volume->Submit(std::move(command));
@@ -324,7 +336,7 @@
   integrity::Paths& paths = paths_.at(e.config->box);
   if (result.status == integrity::Result::Status::kDone) {
     paths.Good(out.path, now);
-    if (cases_.open() == 0 && ledger_.bad() == 0) return;
+    if (damages_->calm()) return;
   } else if (result.status != integrity::Result::Status::kDamaged) {
     return;
   }
@@ -341,25 +353,14 @@
       reading.looks = bad->looks;
       reading.found = bad->found;
       reading.belongs_to = bad->belongs_to;
-      ++counts_.mismatches;
     }
-    const auto verdict = cases_.Note(place, paths.count(), reading, now);
-    if (reading.good) ledger_.Mend(place, now);
+    const auto verdict = damages_->Note(place, paths.count(), reading, now);
     if (verdict) {
-      ++counts_.verdicts;
-      ledger_.Note(place, *verdict, now);
       if (verdict->fault == integrity::Fault::kPath) paths.Bad(verdict->path, now);
-      log::Event(log::Level::kError, "damage",
-                 {{"box", place.box},
-                  {"export", place.remote},
-                  Number("block", block),
-                  {"fault", integrity::NameOf(verdict->fault)},
-                  {"path", std::to_string(verdict->path)}});
     } else if (!reading.good && on_suspicion) {
       on_suspicion(number, block);
     }
   }
-  if (file_ && ledger_.changed() && !std::exchange(saving_, true)) save_.Start(kSave);
 }
 
 // ---- the list of boxes ----
--- a/src/checked/exports.h
+++ b/src/checked/exports.h
@@ -6,7 +6,7 @@
 // by the engine. Checkpoints are the volume's own work: the module has counted a write's units twice for
 // them.
 //
-// Runs on the loop's thread. Owns the volumes, the paths' states, the open cases and the damage ledger.
+// Runs on the loop's thread. Owns the volumes and the paths' states; what is known of damage is Damages'.
 #ifndef WALNUTSPUR_CHECKED_EXPORTS_H_
 #define WALNUTSPUR_CHECKED_EXPORTS_H_
 
@@ -20,9 +20,9 @@
 #include <unordered_map>
 #include <vector>
 
+#include "checked/damages.h"
 #include "core/port.h"
 #include "integrity/blame.h"
-#include "integrity/ledger.h"
 #include "integrity/volume.h"
 #include "loop/loop.h"
 #include "nbd/boxes.h"
@@ -32,17 +32,12 @@
 
 struct Counts {
   std::uint64_t reads = 0, writes = 0;  // commands of clients and of the scrub
-  std::uint64_t mismatches = 0;         // bad blocks met, each reading of one
-  std::uint64_t verdicts = 0;
 };
 
 class Exports : public core::Connector {
  public:
-  // `most` bounds the connections; `folder` keeps the ledger, empty: memory only. A ledger there that cannot
-  // be read is logged and left alone.
-  Exports(event_base* base, const nbd::Config& config, std::size_t most, const std::string& folder,
-          core::Post post);
-  ~Exports() override;
+  // `most` bounds the connections.
+  Exports(event_base* base, const nbd::Config& config, std::size_t most, Damages* damages, core::Post post);
 
   void Start(const core::Attempt& attempt) override;
   void Stop(core::Serial serial, int trial) override;
@@ -52,8 +47,13 @@
 
   std::size_t connections() const { return boxes_.connections(); }
   const integrity::Volume* volume(std::size_t number) const { return exports_[number].volume.get(); }
-  const integrity::Ledger& ledger() const { return ledger_; }
   const Counts& counts() const { return counts_; }
+  struct PathStatus {
+    std::string box;
+    int path = 0;
+    integrity::PathState state = integrity::PathState::kHealthy;
+  };
+  std::vector<PathStatus> paths();  // of boxes with checked exports
   integrity::PathState PathOf(const std::string& box, int path);
 
   // Called with each block that was found bad and on which no verdict has fallen yet.
@@ -90,10 +90,11 @@
 
   void Post(core::Input input);
   void OnIo(const core::Ended& ended);
+  bool Fits(const Export& e) const;
   void Attach(std::size_t number);
   void Pump(std::size_t number);
   void Launch(std::size_t number, integrity::Io io);
-  void Ask(const Asked& asked, nbd::Request request, int path);
+  void Ask(const Asked& asked, nbd::Request request, int path, std::vector<integrity::Slice> tail = {});
   void OnResult(std::size_t number, integrity::Result result);
   void Judge(std::size_t number, const Out& out, const integrity::Result& result);
   void Report(integrity::CommandId command, Outcome outcome, core::PayloadRef payload = nullptr);
@@ -101,19 +102,14 @@
   void Tick(std::size_t number);
   int Choose(const Export& e, const nbd::Request& request);
   integrity::Place PlaceOf(const Export& e, std::uint64_t block) const;
-  void SaveLedger();
 
   event_base* base_;
   const nbd::Config& config_;
+  Damages* damages_;
   core::Post post_;
   nbd::Boxes boxes_;
   std::vector<Export> exports_;  // by the number of the configuration's volume; without a volume: not checked
   std::map<std::string, integrity::Paths> paths_;  // by box
-  integrity::Cases cases_;
-  integrity::Ledger ledger_;
-  std::unique_ptr<integrity::LedgerFile> file_;
-  loop::Watcher save_;
-  bool saving_ = false;  // the timer runs: later verdicts must not put it off
   std::map<integrity::CommandId, Out> out_;
   std::map<Key, integrity::CommandId> commands_;
   std::unordered_map<core::Serial, Asked> asked_;
--- a/src/checked/scrub.cpp
+++ b/src/checked/scrub.cpp
@@ -11,6 +11,7 @@
 
 constexpr Time kReport = 200'000;   // us between reports of what live work feels
 constexpr Time kLook = 250'000;     // us between looks while only an event could let a job go
+constexpr Time kKeep = 10'000'000;  // us between cursors kept
 constexpr Time kLeastTurn = 1'000;  // us
 
 }  // namespace
@@ -27,12 +28,18 @@
       box.budget = std::make_unique<background::Budget>(options_.pressure);
       box.turn = loop::MakeTimer(base_, [this, name = volume.box] { Turn(name); });
     }
-    integrity::Scrubber scrubber(volume.front.size / integrity::kBlock, options_.chunk);
+    const auto known = options_.cursors.find(volume.front.name);
+    const integrity::Cursor cursor = known == options_.cursors.end() ? integrity::Cursor() : known->second;
+    integrity::Scrubber scrubber(volume.front.size / integrity::kBlock, options_.chunk,
+                                 cursor.block / options_.chunk);
     background::JobOptions job = options_.job;
     job.name = volume.front.name;
     job.usual_bytes = static_cast<double>(options_.chunk * integrity::kBlock);
     background::Progress progress;
     progress.total = scrubber.total();
+    progress.position = scrubber.position();
+    progress.rounds = cursor.rounds;
+    progress.since = std::min(cursor.since, now);  // a clock that was set back must not shorten the round
     jobs_.push_back({i, volume.box, box.budget->Add(job, progress, now), std::move(scrubber)});
   }
   report_ = loop::MakeTimer(base_, [this] { Report(); });
@@ -41,6 +48,24 @@
   for (auto& [name, box] : boxes_) box.turn.Start(kLook);
 }
 
+Scrub::~Scrub() {
+  if (options_.on) KeepCursors();
+}
+
+void Scrub::KeepCursors() {
+  if (!options_.keep_cursors) return;
+  integrity::Cursors now = options_.cursors;  // of exports that are not served at present, too
+  for (const Job& job : jobs_) {
+    const background::Progress& progress = boxes_.at(job.box).budget->progress(job.id);
+    now[config_.volumes[job.number].front.name] = {job.scrubber.position() * options_.chunk, progress.rounds,
+                                                   progress.since};
+  }
+  kept_ = core::Now();
+  if (now == known_) return;
+  known_ = std::move(now);
+  options_.keep_cursors(integrity::Encode(known_));
+}
+
 // A second without any live request is calm as well.
 void Scrub::Report() {
   background::Report report;
@@ -49,6 +74,7 @@
   answers_ = missed_ = 0;
   waiting_ = 0;
   for (auto& [name, box] : boxes_) box.budget->Take(report, core::Now());
+  if (core::Now() - kept_ >= kKeep) KeepCursors();
   if (!stopped_) report_.Start(kReport);
 }
 
@@ -72,6 +98,7 @@
 }
 
 void Scrub::Pause(bool paused) {
+  paused_ = paused;
   for (const Job& job : jobs_) {
     background::Budget& budget = *boxes_.at(job.box).budget;
     paused ? budget.Pause(job.id) : budget.Resume(job.id, core::Now());
--- a/src/checked/scrub.h
+++ b/src/checked/scrub.h
@@ -7,6 +7,7 @@
 #ifndef WALNUTSPUR_CHECKED_SCRUB_H_
 #define WALNUTSPUR_CHECKED_SCRUB_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -14,6 +15,7 @@
 
 #include "background/budget.h"
 #include "core/port.h"
+#include "integrity/cursor.h"
 #include "integrity/layout.h"
 #include "integrity/scrubber.h"
 #include "loop/loop.h"
@@ -29,12 +31,15 @@
   std::uint64_t chunk = 16;         // blocks that one request reads
   background::JobOptions job;
   background::PressureOptions pressure;
+  integrity::Cursors cursors;                     // where an earlier process stood
+  std::function<void(std::string)> keep_cursors;  // takes them encoded, now and then; empty: nothing is kept
 };
 
 class Scrub : public core::Front {
  public:
   Scrub(event_base* base, const nbd::Config& config, const ScrubOptions& options, core::Serials* serials,
         core::Post post);
+  ~Scrub() override;
 
   void Finish(const core::Answer& answer) override;
   std::size_t held() const override { return 0; }  // nobody waits for it
@@ -49,6 +54,7 @@
   // A block that should be read again soon.
   void Recheck(std::size_t number, std::uint64_t block);
   void Pause(bool paused);
+  bool paused() const { return paused_; }
 
   struct Status {
     std::string name;
@@ -82,6 +88,7 @@
   void Turn(const std::string& box);
   void Begin(std::size_t job);
   void Report();
+  void KeepCursors();
   bool Warm(const Box& box, Time now) const {
     return box.launched == 0 || now >= box.launched + options_.warm_up;
   }
@@ -91,7 +98,9 @@
   ScrubOptions options_;
   core::Serials* serials_;
   core::Post post_;
-  bool stopped_ = false;
+  bool stopped_ = false, paused_ = false;
+  Time kept_ = 0;  // when the cursors were kept last
+  integrity::Cursors known_;
   std::map<std::string, Box> boxes_;
   std::vector<Job> jobs_;
   std::map<core::Serial, Held> held_;
--- a/src/http/targets.cpp
+++ b/src/http/targets.cpp
@@ -175,6 +175,7 @@
   c->attempt = key;
   c->reads = request && !request->put;
   c->wanted = request ? request->wanted : std::nullopt;
+  c->uri = c->reads && config_.digests.on ? request->uri : std::string();
   c->sent = core::Now();
   c->answer = Reader(Reader::Kind::kAnswer, kMostAnswer);
   attempts_[key] = c;
@@ -228,6 +229,8 @@
     payload->body = std::move(c.answer.body());
     if (config_.digests.on) {
       DigestCheck check = CheckDigests(c.answer, payload->body, c.reads);
+      if (check.match != integrity::Match::kNone && c.reads && on_checked)
+        on_checked(c.target, c.uri, check.match == integrity::Match::kGood, payload->body);
       if (check.match == integrity::Match::kDifferent) return Damaged(c);
       payload->headers = std::move(check.headers);
       if (payload->headers.empty() && c.wanted)
--- a/src/http/targets.h
+++ b/src/http/targets.h
@@ -4,6 +4,7 @@
 
 #include <event2/bufferevent.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -37,6 +38,9 @@
   void Withdraw(const TargetId& target) override;
   void Probe(const TargetId& target);
 
+  // Called with each read whose answer came with a digest: whether its content fits.
+  std::function<void(const TargetId& target, const std::string& uri, bool good, const std::string& body)>
+      on_checked;
   std::size_t connections() const { return connections_.size(); }
   std::size_t known() const { return addresses_.size() + idle_.size(); }
 
@@ -49,6 +53,7 @@
     TargetId target;
     std::optional<Key> attempt;
     bool reads = false;                          // the attempt is a GET
+    std::string uri;                             // of a GET, where digests are on
     std::optional<integrity::Algorithm> wanted;  // the digest that its client wants
     Time sent = 0;
     bool connected = false;  // it has come up
--- a/src/integrity/layout.cpp
+++ b/src/integrity/layout.cpp
@@ -1,6 +1,7 @@
 #include "integrity/layout.h"
 
 #include <algorithm>
+#include <array>
 #include <cstring>
 
 #include "integrity/crc32c.h"
@@ -11,8 +12,8 @@
 constexpr std::string_view kSuperMagic = "WSPRSUP1", kTagMagic = "WSPRTAG1", kRecordMagic = "WSPRREC1";
 constexpr std::size_t kRecordFixed = 72, kRecordEach = 8;
 
-template <typename T>
-void Put(std::string* out, std::size_t at, T value) {
+template <typename Bytes, typename T>
+void Put(Bytes* out, std::size_t at, T value) {
   for (std::size_t i = 0; i < sizeof(T); ++i) (*out)[at + i] = static_cast<char>(value >> (8 * i) & 0xff);
 }
 template <typename T>
@@ -143,11 +144,11 @@
 
 std::uint32_t TagSum(std::uint32_t data_sum, std::uint64_t export_id, std::uint64_t block,
                      std::uint32_t generation) {
-  std::string salt(20, '\0');
+  std::array<char, 20> salt{};
   Put(&salt, 0, export_id);
   Put(&salt, 8, block);
   Put(&salt, 16, generation);
-  return Crc32c(salt, data_sum);
+  return Crc32c({salt.data(), salt.size()}, data_sum);
 }
 
 std::string Encode(const TagBlock& block, std::uint64_t export_id) {
--- a/src/integrity/ledger.cpp
+++ b/src/integrity/ledger.cpp
@@ -1,18 +1,12 @@
 #include "integrity/ledger.h"
 
-#include <fcntl.h>
-#include <sys/stat.h>
-#include <unistd.h>
-
 #include <algorithm>
-#include <cerrno>
 #include <cstdio>
-#include <cstring>
-#include <fstream>
-#include <sstream>
+#include <optional>
 #include <utility>
 
 #include "integrity/crc32c.h"
+#include "keep/whole_file.h"
 
 namespace walnutspur::integrity {
 namespace {
@@ -202,63 +196,22 @@
 
 // ---- the file ----
 
-namespace {
-
-bool WriteAll(int fd, std::string_view bytes) {
-  while (!bytes.empty()) {
-    const ssize_t size = write(fd, bytes.data(), bytes.size());
-    if (size < 0 && errno == EINTR) continue;
-    if (size <= 0) return false;
-    bytes.remove_prefix(static_cast<std::size_t>(size));
-  }
-  return true;
-}
-
-}  // namespace
-
 LedgerFile::Found LedgerFile::Load(Ledger* ledger, std::string* what) {
-  std::ifstream file(path(), std::ios::binary);
-  if (!file) return Found::kNone;
-  std::stringstream bytes;
-  bytes << file.rdbuf();
+  const std::optional<std::string> bytes = keep::ReadWhole(path());
+  if (!bytes) return Found::kNone;
   std::string why;
-  if (ledger->Decode(bytes.str(), &why)) return Found::kRead;
+  if (ledger->Decode(*bytes, &why)) return Found::kRead;
   *what = path() + " " + why;
   refused_ = true;
   return Found::kRefused;
 }
 
-bool LedgerFile::Save(Ledger& ledger, std::string* what) {
-  const std::string next = path() + ".new";
-  const auto fail = [&](const char* step) {
-    *what = std::string(step) + " " + next + ": " + std::strerror(errno);
-    std::remove(next.c_str());
-    return false;
-  };
-  const std::string bytes = ledger.Encode();
-  const int fd = open(next.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0640);
-  if (fd < 0) return fail("cannot open");
-  if (!WriteAll(fd, bytes)) {
-    close(fd);
-    return fail("cannot write");
-  }
-  // After an error of fsync nothing is known of what is on the disk: the new file is given up, not tried
-  // again.
-  if (fsync(fd) != 0) {
-    close(fd);
-    return fail("cannot sync");
-  }
-  close(fd);
+bool LedgerFile::Write(const std::string& bytes, std::string* what) {
   if (refused_) {
     std::rename(path().c_str(), (path() + ".refused").c_str());
     refused_ = false;
   }
-  if (std::rename(next.c_str(), path().c_str()) != 0) return fail("cannot rename");
-  const int folder = open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  const bool synced = folder >= 0 && fsync(folder) == 0;
-  if (folder >= 0) close(folder);
-  if (!synced) return fail("cannot sync the folder of");
-  return true;
+  return keep::WriteWhole(folder_, kName, bytes, what);
 }
 
 }  // namespace walnutspur::integrity
--- a/src/integrity/ledger.h
+++ b/src/integrity/ledger.h
@@ -67,11 +67,14 @@
   enum class Found { kNone, kRead, kRefused };
   // A file that is refused is left as it is, and a later Save moves it aside instead of over it.
   Found Load(Ledger* ledger, std::string* what);
-  // False, with one line, if it could not be made to last; the old file then still stands.
-  bool Save(Ledger& ledger, std::string* what);
-  std::string path() const { return folder_ + "/damage.ledger"; }
+  // Of what Ledger::Encode gave. False, with one line, if it could not be made to last; the old file then
+  // still stands.
+  bool Write(const std::string& bytes, std::string* what);
+  bool Save(Ledger& ledger, std::string* what) { return Write(ledger.Encode(), what); }
+  std::string path() const { return folder_ + "/" + kName; }
 
  private:
+  static constexpr const char* kName = "damage.ledger";
   std::string folder_;
   bool refused_ = false;
 };
--- a/src/integrity/volume.cpp
+++ b/src/integrity/volume.cpp
@@ -11,10 +11,20 @@
 // A slot that cannot be read may be damaged on its way, damaged at rest or torn by a crash. Only what reads
 // the same so often is taken to stand there.
 constexpr int kSureAfter = 3;
-const std::string kZeros(kBlock, '\0');
+const Slice kZeros = Own(std::string(kBlock, '\0'));
 
 std::uint64_t TagIndex(std::uint64_t block) { return block / kTagsPerBlock; }
 
+// Adjoining parts of one string are one part: a write's blocks mostly are.
+void Join(std::vector<Slice>* run, const Slice& slice) {
+  if (!run->empty() && slice.Continues(run->back())) {
+    Slice& last = run->back();
+    last.bytes = {last.bytes.data(), last.bytes.size() + slice.bytes.size()};
+  } else {
+    run->push_back(slice);
+  }
+}
+
 }  // namespace
 
 std::vector<Io> FormatPlan(std::uint64_t size, std::uint64_t journal, std::uint64_t export_id,
@@ -50,6 +60,12 @@
   return plan;
 }
 
+std::string Io::All() const {
+  std::string all = data;
+  for (const Slice& slice : tail) all += slice.bytes;
+  return all;
+}
+
 Volume::Volume(const VolumeOptions& options) : options_(options) {}
 Volume::~Volume() = default;
 
@@ -63,7 +79,7 @@
 }
 
 IoId Volume::Ask(IoKind kind, IoFor purpose, CommandId command, std::uint64_t offset, std::uint32_t length,
-                 std::string data, bool fua) {
+                 std::string data, bool fua, std::vector<Slice> tail) {
   Io io;
   io.id = next_io_++;
   io.kind = kind;
@@ -75,6 +91,7 @@
   ios_[io.id] = io;
   if (kind == IoKind::kFlush) flushes_[io.id] = acked_;
   io.data = std::move(data);
+  io.tail = std::move(tail);
   out_.push_back(std::move(io));
   return next_io_ - 1;
 }
@@ -178,7 +195,7 @@
     Version version;
     version.sequence = head.sequence;
     version.tag = {head.blocks[i].generation, head.blocks[i].sum, 0};
-    if (head.has_data) version.data = std::make_shared<const std::string>(DataOf(head, bytes, i));
+    if (head.has_data) version.data = Own(std::string(DataOf(head, bytes, i)));
     overlay_[head.first + i].push_back(std::move(version));
     bad_.erase(head.first + i);
   }
@@ -240,7 +257,7 @@
   const std::uint64_t end = command.offset + command.length;
   if (command.id == 0 || ops_.contains(command.id) ||
       (ranged && (command.length == 0 || end > size() || end < command.offset ||
-                  (command.kind == Command::Kind::kWrite && command.data.size() != command.length))))
+                  (command.kind == Command::Kind::kWrite && command.data.bytes.size() != command.length))))
     return results_.push_back({command.id, Result::Status::kRefused, "", {}});
   auto made = std::make_unique<Op>();
   Op& op = *made;
@@ -454,14 +471,15 @@
   } else if (io.offset == op.first * kBlock && io.length == op.count * kBlock) {
     op.whole = std::move(data);
   } else {
+    const Slice all = Own(std::move(data));
     for (std::uint32_t i = 0; i < io.length; i += kBlock)
-      op.read[(io.offset + i) / kBlock] = data.substr(i, kBlock);
+      op.read[(io.offset + i) / kBlock] = all.Part(i, kBlock);
   }
   if (op.reading == 0 && op.tags_missing.empty()) Loaded(op);
 }
 
 std::optional<std::string_view> Volume::Came(const Op& op, std::uint64_t block) {
-  if (const auto at = op.read.find(block); at != op.read.end()) return at->second;
+  if (const auto at = op.read.find(block); at != op.read.end()) return at->second.bytes;
   if (op.whole.empty()) return std::nullopt;
   return std::string_view(op.whole).substr((block - op.first) * kBlock, kBlock);
 }
@@ -489,8 +507,7 @@
   const bool writes = op.command.kind != Command::Kind::kRead;
   for (std::uint64_t block = op.first; block < op.first + op.count; ++block) {
     if (const Version* newest = Newest(block)) {  // whatever the box said
-      if (newest->data) op.read[block] = *newest->data;
-      if (!newest->data) op.read[block] = kZeros;
+      op.read[block] = newest->data ? newest->data : kZeros;
       continue;
     }
     const std::uint64_t begin = block * kBlock;
@@ -537,7 +554,7 @@
     return bad;
   }
   // Zeros where something had been written once for the first time are the content before that.
-  if (tag.generation == 1 && data == kZeros) {
+  if (tag.generation == 1 && data == kZeros.bytes) {
     bad.looks = Looks::kOld;
     return bad;
   }
@@ -568,21 +585,21 @@
     const std::uint64_t to = std::min(begin + kBlock, end) - begin;
     const bool spoilt =
         std::any_of(bad.begin(), bad.end(), [&](const BadBlock& b) { return b.block == block; });
-    data.append((spoilt ? std::string_view(kZeros) : *Came(op, block)).substr(from, to - from));
+    data.append((spoilt ? kZeros.bytes : *Came(op, block)).substr(from, to - from));
   }
   const auto status = bad.empty() ? Result::Status::kDone : Result::Status::kDamaged;
   Answer(op, status, std::move(data), std::move(bad));
 }
 
 // The whole content that a block of the write will have.
-std::string Volume::Merged(const Op& op, std::uint64_t block) const {
+Slice Volume::Merged(const Op& op, std::uint64_t block) const {
   const std::uint64_t begin = block * kBlock, end = begin + kBlock;
   const std::uint64_t from = std::max(begin, op.command.offset);
   const std::uint64_t to = std::min(end, op.command.offset + op.command.length);
-  if (from == begin && to == end) return op.command.data.substr(from - op.command.offset, kBlock);
+  if (from == begin && to == end) return op.command.data.Part(from - op.command.offset, kBlock);
   std::string content(*Came(op, block));
-  content.replace(from - begin, to - from, op.command.data, from - op.command.offset, to - from);
-  return content;
+  content.replace(from - begin, to - from, op.command.data.bytes, from - op.command.offset, to - from);
+  return Own(std::move(content));
 }
 
 // Each content that a block gets in place has a generation of its own: a new one as soon as the last has
@@ -606,16 +623,14 @@
   }
   op.phase = Op::Phase::kJournal;
   std::vector<Version> versions;
-  std::string data;
-  if (has_data) data.reserve(op.count * kBlock);
+  std::vector<Slice> data;
   for (std::uint64_t block = op.first; block < op.first + op.count; ++block) {
     Version version;
     version.tag.generation = Generation(block);
     if (has_data) {
-      auto content = std::make_shared<const std::string>(Merged(op, block));
-      version.tag.sum = TagSum(DataSum(*content), super_.export_id, block, version.tag.generation);
-      data += *content;
-      version.data = std::move(content);
+      version.data = Merged(op, block);
+      version.tag.sum = TagSum(DataSum(version.data.bytes), super_.export_id, block, version.tag.generation);
+      Join(&data, version.data);
     } else {
       version.tag.generation |= kHole;
     }
@@ -623,7 +638,7 @@
   }
   op.read.clear();
   op.whole = std::string();
-  op.command.data = std::string();
+  op.command.data = Slice();
   Record& record = Append(size);
   record.command = op.command.id;
   record.first = op.first;
@@ -633,7 +648,7 @@
   head.has_data = has_data;
   last_first_ = op.first;
   last_count_ = static_cast<std::uint16_t>(op.count);
-  Write(record, head, data, options_.fua_journal);
+  Write(record, head, std::move(data), options_.fua_journal);
 }
 
 void Volume::Retry() {
@@ -680,18 +695,19 @@
   };
   if (head_at_ + size > all) {
     Record& filler = add(static_cast<std::uint32_t>(all - head_at_));
-    Write(filler, HeadOf(filler), "", options_.fua_journal);
+    Write(filler, HeadOf(filler), {}, options_.fua_journal);
     last_first_ = last_count_ = 0;
   }
   return add(size);
 }
 
-void Volume::Write(Record& record, const RecordHead& head, const std::string& data, bool fua) {
-  std::string bytes = Encode(head, data, super_.export_id);
+void Volume::Write(Record& record, const RecordHead& head, std::vector<Slice> data, bool fua) {
+  std::string bytes = Encode(head, "", super_.export_id);
   record.asked = true;
-  const auto length = static_cast<std::uint32_t>(bytes.size());
+  auto length = static_cast<std::uint32_t>(bytes.size());
+  for (const Slice& slice : data) length += static_cast<std::uint32_t>(slice.bytes.size());
   const IoId id = Ask(IoKind::kWrite, IoFor::kJournal, record.failed ? 0 : record.command,
-                      super_.geometry.journal_at + record.at, length, std::move(bytes), fua);
+                      super_.geometry.journal_at + record.at, length, std::move(bytes), fua, std::move(data));
   ios_.at(id).offset = record.sequence;  // by which its end is found
 }
 
@@ -706,7 +722,7 @@
 void Volume::Void(Record& record) {
   RecordHead head = HeadOf(record);
   head.blocks.clear();
-  Write(record, head, "", options_.fua_journal);
+  Write(record, head, {}, options_.fua_journal);
 }
 
 void Volume::OnRecord(std::uint64_t sequence, IoEnd end) {
@@ -818,20 +834,21 @@
   }
   for (const std::uint64_t block : applying_unknown_)
     applying_tags_.at(TagIndex(block)).tags[block % kTagsPerBlock] = {kUnknown, 0, 0};
-  std::string run;
-  std::uint64_t start = 0;
+  std::vector<Slice> run;
+  std::uint64_t start = 0, length = 0;
   const auto put = [&] {
     if (run.empty()) return;
     ++stage_left_;
-    const auto length = static_cast<std::uint32_t>(run.size());
-    Ask(IoKind::kWrite, IoFor::kApply, 0, start * kBlock, length, std::move(run));
-    run.clear();
+    Ask(IoKind::kWrite, IoFor::kApply, 0, start * kBlock, static_cast<std::uint32_t>(length), "", false,
+        std::exchange(run, {}));
+    length = 0;
   };
   for (const auto& [block, version] : applying_) {
     if (!version.data) continue;
-    if (block != start + run.size() / kBlock || run.size() + kBlock > options_.most_io) put();
+    if (block != start + length / kBlock || length + kBlock > options_.most_io) put();
     if (run.empty()) start = block;
-    run += *version.data;
+    Join(&run, version.data);
+    length += kBlock;
   }
   put();
   for (auto& [index, tags] : applying_tags_) {
--- a/src/integrity/volume.h
+++ b/src/integrity/volume.h
@@ -27,6 +27,7 @@
 #include <vector>
 
 #include "integrity/layout.h"
+#include "integrity/slice.h"
 
 namespace walnutspur::integrity {
 
@@ -43,8 +44,11 @@
   CommandId command = 0;
   std::uint64_t offset = 0;
   std::uint32_t length = 0;
-  std::string data;  // of a write
-  bool fua = false;  // durable when it ends
+  std::string data;         // of a write: its beginning,
+  std::vector<Slice> tail;  // and what follows it
+  bool fua = false;         // durable when it ends
+
+  std::string All() const;  // data and tail
 };
 
 enum class IoEnd {
@@ -59,7 +63,7 @@
   Kind kind = Kind::kRead;
   std::uint64_t offset = 0;
   std::uint32_t length = 0;
-  std::string data;  // of a write
+  Slice data;  // of a write
   bool fua = false;
 };
 
@@ -145,7 +149,7 @@
   struct Version {  // of a block, in the journal and not in place
     std::uint64_t sequence = 0;
     Tag tag;
-    std::shared_ptr<const std::string> data;  // null: a hole
+    Slice data;  // empty: a hole
   };
   struct Record {
     enum class State { kWriting, kDone, kVoid };
@@ -163,8 +167,8 @@
     enum class Phase { kLocked, kLoading, kSpace, kJournal, kFlush } phase = Phase::kLoading;
     std::set<std::uint64_t> tags_missing;  // tag blocks
     std::set<std::uint64_t> tags_bad;
-    std::string whole;                          // all its blocks as they came, if they came by one read
-    std::map<std::uint64_t, std::string> read;  // else each; and what stands in the journal, over what came
+    std::string whole;                    // all its blocks as they came, if they came by one read
+    std::map<std::uint64_t, Slice> read;  // else each; and what stands in the journal, over what came
     std::size_t reading = 0;
     std::uint64_t applies = 0;  // what applies_ was when its data was asked for
     bool abandoned = false;
@@ -177,7 +181,7 @@
   enum class Stage { kNone, kBarrier, kTags, kApply, kSecondBarrier, kSuper };
 
   IoId Ask(IoKind kind, IoFor purpose, CommandId command, std::uint64_t offset, std::uint32_t length,
-           std::string data = "", bool fua = false);
+           std::string data = "", bool fua = false, std::vector<Slice> tail = {});
   void Break(std::string why);
   void Answer(Op& op, Result::Status status, std::string data = "", std::vector<BadBlock> bad = {});
 
@@ -205,7 +209,7 @@
   BadBlock Describe(std::uint64_t block, const Tag& tag, std::string_view data) const;
   void FinishRead(Op& op, std::vector<BadBlock> bad);
   void Journal(Op& op);
-  std::string Merged(const Op& op, std::uint64_t block) const;
+  Slice Merged(const Op& op, std::uint64_t block) const;
   std::uint32_t Generation(std::uint64_t block) const;
   void Retry();  // what waits for room in the journal
   void Unlock(const Op& op);
@@ -214,7 +218,7 @@
   // the journal
   bool Room(std::uint32_t size) const;
   Record& Append(std::uint32_t size);
-  void Write(Record& record, const RecordHead& head, const std::string& data, bool fua);
+  void Write(Record& record, const RecordHead& head, std::vector<Slice> data, bool fua);
   void Void(Record& record);
   void OnRecord(std::uint64_t sequence, IoEnd end);
   void Acknowledge();
--- a/src/lab/box/box.cpp
+++ b/src/lab/box/box.cpp
@@ -11,8 +11,6 @@
 
 #include <algorithm>
 #include <cstring>
-#include <fstream>
-#include <iterator>
 #include <stdexcept>
 #include <utility>
 
@@ -53,27 +51,16 @@
 Box::Box(const BoxOptions& options) : options_(options) {
   static const int threads = evthread_use_pthreads();
   if (threads != 0) throw std::runtime_error("libevent has no threads");
-  disk_ = std::make_unique<Disk>(options.size, options.seed);
+  disk_ = std::make_unique<Disk>(options.size, options.seed, options.file);
   disk_->KeepHistory();
-  if (!options.file.empty()) {
-    std::ifstream file(options.file, std::ios::binary);
-    const std::string bytes((std::istreambuf_iterator<char>(file)), {});
-    disk_->Write(0, bytes.substr(0, options.size), true);
-  }
-  constexpr std::uint16_t kFlags = nbd::kHasFlags | nbd::kSendFlush | nbd::kSendFua | nbd::kCanMultiConn;
-  exports_.push_back({options.export_name, options.size, kLargest, kFlags});
+  exports_.push_back({options.export_name, options.size, kLargest, options.flags});
   ports_.assign(static_cast<std::size_t>(options.paths + (options.http ? 1 : 0)), 0);
   for (std::size_t i = 0; options.first_port > 0 && i < ports_.size(); ++i)
     ports_[i] = options.first_port + static_cast<int>(i);
   Listen();
 }
 
-Box::~Box() {
-  Stop();
-  if (options_.file.empty()) return;
-  std::ofstream(options_.file, std::ios::binary)
-      << disk_->Read(0, static_cast<std::uint32_t>(std::min<std::uint64_t>(disk_->size(), 0xffffffff)));
-}
+Box::~Box() { Stop(); }
 
 void Box::Listen() {
   base_.reset(event_base_new());
@@ -153,6 +140,11 @@
   options_.delay = us;
 }
 
+void Box::Stall(std::int64_t us) {
+  const std::lock_guard lock(mutex_);
+  busy_until_ = std::max(busy_until_, core::Now()) + us;
+}
+
 void Box::SetService(std::int64_t us) {
   const std::lock_guard lock(mutex_);
   options_.service = us;
@@ -320,11 +312,18 @@
       const std::string before = old == objects_.end() ? "" : old->second.substr(old->second.find('\n') + 1);
       // The box's index has the new digest, its disk has not the new bytes.
       if (fault->damage == Damage::kLost) stored = digest + "\n" + before;
-      if (fault->damage == Damage::kAstray)
-        stored = digest + "\n" + (objects_.empty() ? "" : objects_.begin()->second);
+      if (fault->damage == Damage::kAstray) {  // another object gets the bytes, and keeps its digest
+        stored = digest + "\n" + before;
+        for (auto& [name, other] : objects_) {
+          if (name == key) continue;
+          other = other.substr(0, other.find('\n') + 1) + read.body();
+          break;
+        }
+      }
       if (fault->damage == Damage::kTorn)
         stored = digest + "\n" + read.body().substr(0, read.body().size() / 2);
     }
+    if (const auto old = objects_.find(key); old != objects_.end()) previous_[key] = old->second;
     objects_[key] = stored;
     body = "stored";
   } else if (const auto at = objects_.find(key); at != objects_.end()) {
@@ -333,7 +332,12 @@
     body = at->second.substr(end + 1);
     if (!digest.empty()) head += "Content-Digest: " + digest + "\r\n";
     if (Fault* fault = Fitting({Damage::kFlipPath, Damage::kStale}, -1, 0, 1); fault && !body.empty()) {
-      FlipBits(&body, 1 + static_cast<int>(disk_->Draw(8)), &disk_->random());
+      const auto old = previous_.find(key);
+      if (fault->damage == Damage::kStale && old != previous_.end()) {
+        body = old->second.substr(old->second.find('\n') + 1);
+      } else {
+        FlipBits(&body, 1 + static_cast<int>(disk_->Draw(8)), &disk_->random());
+      }
       Struck(*fault);
     }
   } else {
--- a/src/lab/box/box.h
+++ b/src/lab/box/box.h
@@ -41,10 +41,11 @@
   std::uint64_t seed = 1;
   int paths = 1;             // NBD listeners
   bool http = false;         // and one that speaks HTTP
-  std::string file;          // the disk's bytes are read from it at the start and written to it at the end
+  std::string file;          // the disk's bytes lie in it, and stay there however the process ends
   std::int64_t delay = 0;    // us before each answer
   std::int64_t service = 0;  // us of work a command; one at a time is worked on, the others wait in turn
   std::string host = "127.0.0.1";
+  std::uint16_t flags = nbd::kHasFlags | nbd::kSendFlush | nbd::kSendFua | nbd::kCanMultiConn;
   int first_port = 0;  // of the first listener, the others follow; 0: free ones
 };
 
@@ -68,6 +69,8 @@
   std::uint64_t commands() const;
   void SetDelay(std::int64_t us);
   void SetService(std::int64_t us);
+  // Nothing of what is worked on by `service` goes on for so long.
+  void Stall(std::int64_t us);
 
   // With the box's thread held off.
   template <typename Call>
@@ -98,7 +101,7 @@
   std::map<Damage, std::uint64_t> struck_;
   std::uint64_t commands_ = 0;
   std::int64_t busy_until_ = 0;
-  std::map<std::string, std::string> objects_;  // by HTTP
+  std::map<std::string, std::string> objects_, previous_;  // by HTTP; and what stood there before
   std::vector<nbd::Export> exports_;
   std::vector<int> ports_;
   loop::BaseRef base_;
--- a/src/lab/box/disk.cpp
+++ b/src/lab/box/disk.cpp
@@ -1,6 +1,12 @@
 #include "lab/box/disk.h"
 
+#include <fcntl.h>
+#include <sys/mman.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <cerrno>
+#include <cstring>
 #include <set>
 #include <stdexcept>
 #include <utility>
@@ -33,22 +39,44 @@
   }
 }
 
-Disk::Disk(std::uint64_t size, std::uint64_t seed) : bytes_(size, '\0'), random_(seed) {}
+Disk::Disk(std::uint64_t size, std::uint64_t seed, const std::string& file) : size_(size), random_(seed) {
+  int fd = -1;
+  if (!file.empty()) {
+    fd = open(file.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0640);
+    if (fd < 0 || ftruncate(fd, static_cast<off_t>(size)) != 0) {
+      const std::string why = std::strerror(errno);
+      if (fd >= 0) close(fd);
+      throw std::runtime_error("the disk's file " + file + ": " + why);
+    }
+  }
+  const int flags = fd >= 0 ? MAP_SHARED : MAP_PRIVATE | MAP_ANONYMOUS;
+  mapped_ = mmap(nullptr, std::max<std::uint64_t>(size, 1), PROT_READ | PROT_WRITE, flags, fd, 0);
+  if (fd >= 0) close(fd);
+  if (mapped_ == MAP_FAILED) throw std::runtime_error("no memory for a disk of " + std::to_string(size));
+}
+
+Disk::~Disk() { munmap(mapped_, std::max<std::uint64_t>(size_, 1)); }
+
+std::string Disk::Part(std::uint64_t offset, std::uint64_t length) const {
+  if (offset >= size_) return "";
+  return {static_cast<const char*>(mapped_) + offset, std::min(length, size_ - offset)};
+}
 
-std::string Disk::Read(std::uint64_t offset, std::uint32_t length) const {
-  if (offset >= bytes_.size()) return "";
-  return bytes_.substr(offset, length);
+void Disk::Put(std::uint64_t offset, std::string_view bytes) {
+  std::memcpy(static_cast<char*>(mapped_) + offset, bytes.data(), bytes.size());
 }
 
+std::string Disk::Read(std::uint64_t offset, std::uint32_t length) const { return Part(offset, length); }
+
 void Disk::Write(std::uint64_t offset, const std::string& data, bool fua) {
-  if (offset + data.size() > bytes_.size()) throw std::out_of_range("a write past the end of the disk");
+  if (offset + data.size() > size_) throw std::out_of_range("a write past the end of the disk");
   ++writes_;
-  if (!fua) cached_.push_back({writes_, offset, bytes_.substr(offset, data.size())});
+  if (!fua) cached_.push_back({writes_, offset, Part(offset, data.size())});
   if (keeps_) {
     for (std::uint64_t at = offset / kSector * kSector; at < offset + data.size(); at += kSector)
-      history_[at] = bytes_.substr(at, kSector);
+      history_[at] = Part(at, kSector);
   }
-  bytes_.replace(offset, data.size(), data);
+  Put(offset, data);
 }
 
 void Disk::Flush(std::uint64_t mark) {
@@ -63,7 +91,7 @@
       const std::uint64_t part =
           std::min<std::uint64_t>(kSector - (write->offset + at) % kSector, write->before.size() - at);
       if (all == 0 || (all == 2 && Draw(2) == 0))
-        bytes_.replace(write->offset + at, part, write->before, at, part);
+        Put(write->offset + at, std::string_view(write->before).substr(at, part));
       at += part;
     }
   }
@@ -73,15 +101,15 @@
 void Disk::CrashInside(std::uint64_t offset, const std::string& data) {
   for (std::uint64_t at = 0; at < data.size();) {
     const std::uint64_t part = std::min<std::uint64_t>(kSector - (offset + at) % kSector, data.size() - at);
-    if (Draw(2) == 0) bytes_.replace(offset + at, part, data, at, part);
+    if (Draw(2) == 0) Put(offset + at, std::string_view(data).substr(at, part));
     at += part;
   }
 }
 
 void Disk::Flip(std::uint64_t offset, std::uint32_t length, int bits) {
-  std::string part = bytes_.substr(offset, length);
+  std::string part = Part(offset, length);
   FlipBits(&part, bits, &random_);
-  bytes_.replace(offset, part.size(), part);
+  Put(offset, part);
 }
 
 std::string Disk::Before(std::uint64_t offset, std::uint32_t length) const {
--- a/src/lab/box/disk.h
+++ b/src/lab/box/disk.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <pcg_random.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace walnutspur::lab {
@@ -27,9 +28,14 @@
  public:
   static constexpr std::uint32_t kSector = 512;
 
-  Disk(std::uint64_t size, std::uint64_t seed);
+  // Its bytes lie in `file`, as they do on the disk of a machine whose program dies; empty: in memory. Throws
+  // std::runtime_error if the file cannot be had.
+  Disk(std::uint64_t size, std::uint64_t seed, const std::string& file = "");
+  ~Disk();
+  Disk(const Disk&) = delete;
+  Disk& operator=(const Disk&) = delete;
 
-  std::uint64_t size() const { return bytes_.size(); }
+  std::uint64_t size() const { return size_; }
   // What a read brings; shorter than asked past the end.
   std::string Read(std::uint64_t offset, std::uint32_t length) const;
   // Into the cache, or through it if `fua`.
@@ -61,7 +67,11 @@
     std::uint64_t number = 0, offset = 0;
     std::string before;
   };
-  std::string bytes_;
+  std::string Part(std::uint64_t offset, std::uint64_t length) const;  // cut off at the end
+  void Put(std::uint64_t offset, std::string_view bytes);
+
+  std::uint64_t size_;
+  void* mapped_ = nullptr;                        // of the file or of nothing: unmapped at the end
   std::vector<Cached> cached_;                    // writes since the last flush, with what they replaced
   std::map<std::uint64_t, std::string> history_;  // by sector
   std::uint64_t writes_ = 0;
--- a/src/lab/box/main.cpp
+++ b/src/lab/box/main.cpp
@@ -1,4 +1,7 @@
-// walnutspur_box: a storage box as a program of its own, until SIGTERM.
+// walnutspur_box: a storage box as a program of its own, until SIGTERM. SIGUSR2 is a power cut: what was
+// not flushed is lost by chance, and the process ends on the spot.
+#include <unistd.h>
+
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
@@ -18,7 +21,8 @@
   cli.add_option("--seed", options.seed, "Of all chance")->capture_default_str();
   cli.add_option("--paths", options.paths, "NBD listeners")->check(CLI::Range(1, 64))->capture_default_str();
   cli.add_flag("--http", options.http, "One more listener, which speaks HTTP");
-  cli.add_option("--file", options.file, "Read at the start, written at the end");
+  cli.add_option("--file", options.file,
+                 "The disk's bytes lie in it, and stay there however the process ends");
   cli.add_option("--delay-us", options.delay, "Before each answer")->capture_default_str();
   cli.add_option("--host", options.host, "The address to listen at")->capture_default_str();
   cli.add_option("--port", options.first_port, "Of the first listener, the others follow; 0: free ones")
@@ -37,6 +41,7 @@
     sigemptyset(&ends);
     sigaddset(&ends, SIGTERM);
     sigaddset(&ends, SIGINT);
+    sigaddset(&ends, SIGUSR2);
     pthread_sigmask(SIG_BLOCK, &ends, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     Box box(options);
@@ -53,6 +58,12 @@
     std::fflush(stdout);
     int signal = 0;
     sigwait(&ends, &signal);
+    if (signal == SIGUSR2) {
+      box.WithDisk([](Disk& disk) {
+        disk.Crash();
+        _exit(0);
+      });
+    }
     return 0;
   } catch (const std::exception& error) {
     std::fprintf(stderr, "walnutspur_box: %s\n", error.what());
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -77,6 +77,8 @@
         return walnutspur::app::ShowSuperblock(command.integrity, stdout);
       case Action::kVerify:
         return walnutspur::app::Verify(command.integrity, stdout);
+      case Action::kAsk:
+        return walnutspur::app::AskProcess(command.integrity, stdout);
       case Action::kLedger:
         return walnutspur::app::ShowLedger(command.integrity, stdout);
       case Action::kSaid:
--- a/src/nbd/boxes.cpp
+++ b/src/nbd/boxes.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <memory>
 
 #include "core/owner.h"
 #include "loop/address.h"
@@ -15,6 +16,22 @@
 constexpr std::size_t kMostInFlight = 16;  // commands on one connection; beyond, another one is opened
 constexpr double kIdlePart = 0.8;          // of the time that a connection may be idle
 
+// What is short is cheaper to copy than to hold on to.
+void AddShared(evbuffer* output, const integrity::Slice& slice) {
+  constexpr std::size_t kWorthIt = 2048;
+  if (slice.bytes.size() < kWorthIt) {
+    evbuffer_add(output, slice.bytes.data(), slice.bytes.size());
+    return;
+  }
+  using Owner = std::shared_ptr<const void>;
+  auto owner = std::make_unique<Owner>(slice.owner);
+  const auto release = [](const void*, std::size_t, void* held) {
+    const std::unique_ptr<Owner> gone(static_cast<Owner*>(held));
+  };
+  if (evbuffer_add_reference(output, slice.bytes.data(), slice.bytes.size(), release, owner.get()) == 0)
+    static_cast<void>(owner.release());  // it is the buffer's now
+}
+
 }  // namespace
 
 // NBD has no reply that proves that a write never ran, not even the one of a server that shuts down. A read
@@ -38,6 +55,13 @@
   return best;
 }
 
+std::optional<std::uint16_t> Boxes::flags(const TargetId& target, const std::string& remote) const {
+  for (const auto& [number, c] : connections_) {
+    if (c->place.box == target && c->place.remote == remote && c->session.ready()) return c->session.flags();
+  }
+  return std::nullopt;
+}
+
 Boxes::Connection* Boxes::Open(const Place& place) {
   const auto box = std::find_if(config_.boxes.begin(), config_.boxes.end(),
                                 [&](const Box& b) { return b.id == place.box; });
@@ -105,7 +129,12 @@
 
 void Boxes::Send(Connection& c, const Key& key) {
   Out& out = out_.at(key);
-  Request request = static_cast<const CommandPayload&>(*out.attempt.payload).request;
+  const auto command = std::static_pointer_cast<const CommandPayload>(out.attempt.payload);
+  Request request;  // its data follows without a copy
+  request.flags = command->request.flags;
+  request.type = command->request.type;
+  request.offset = command->request.offset;
+  request.length = command->request.length;
   request.cookie = out.cookie = next_cookie_++;
   // A flush covers what was written on its own connection, unless the box says otherwise, and here a write
   // and the flush after it may take two: such writes are durable by themselves where the box can do that.
@@ -114,9 +143,13 @@
   c.in_flight[out.cookie] = key;
   std::string bytes;
   c.session.Send(request, &bytes);
-  c.queued += bytes.size();
+  evbuffer* output = bufferevent_get_output(c.stream.get());
+  const std::size_t before = evbuffer_get_length(output);
+  evbuffer_add(output, bytes.data(), bytes.size());
+  AddShared(output, {command, command->request.data});
+  for (const integrity::Slice& slice : command->tail) AddShared(output, slice);
+  c.queued += evbuffer_get_length(output) - before;
   c.unsent.emplace_back(out.cookie, c.queued);
-  bufferevent_write(c.stream.get(), bytes.data(), bytes.size());
 }
 
 // Whether the command's last byte has left for the box.
@@ -138,7 +171,7 @@
     c.queued += out.size();
     bufferevent_write(c.stream.get(), out.data(), out.size());
   }
-  for (const Reply& reply : replies) OnReply(c, reply);
+  for (Reply& reply : replies) OnReply(c, std::move(reply));
   if (c.session.ended() || c.session.surplus()) return Break(c);
   if (!was_ready && c.session.ready()) {
     c.connect.Stop();
@@ -147,7 +180,7 @@
   Rest(c);
 }
 
-void Boxes::OnReply(Connection& c, const Reply& reply) {
+void Boxes::OnReply(Connection& c, Reply reply) {
   std::erase_if(c.unsent, [&](const auto& u) { return u.first == reply.cookie; });
   const auto at = c.in_flight.find(reply.cookie);
   if (at == c.in_flight.end()) return;  // it was given up
@@ -157,7 +190,7 @@
   core::PayloadRef payload;
   if (reply.error == kOk) {
     auto whole = std::make_shared<ReplyPayload>();
-    whole->pieces = reply.pieces;
+    whole->pieces = std::move(reply.pieces);
     payload = std::move(whole);
   }
   Report(key, OutcomeOf(reply.error, request.type), std::move(payload));
--- a/src/nbd/boxes.h
+++ b/src/nbd/boxes.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -29,6 +30,8 @@
   void Withdraw(const TargetId& target) override;
 
   std::size_t connections() const { return connections_.size(); }
+  // What the box said of an export, as far as a connection to it is up; else nothing.
+  std::optional<std::uint16_t> flags(const TargetId& target, const std::string& remote) const;
 
  private:
   using Key = std::pair<core::Serial, int>;
@@ -65,7 +68,7 @@
   Connection* Open(const Place& place);
   void Send(Connection& connection, const Key& key);
   void OnRead(Connection& connection);
-  void OnReply(Connection& connection, const Reply& reply);
+  void OnReply(Connection& connection, Reply reply);
   bool Written(const Connection& connection, std::uint64_t cookie) const;
   void GiveUp(const Key& key, Outcome outcome);
   void Report(const Key& key, Outcome outcome, core::PayloadRef payload = nullptr);
--- a/src/nbd/config.cpp
+++ b/src/nbd/config.cpp
@@ -160,6 +160,9 @@
     v.plan = Index(plans, t.Text("plan"));
     v.shard = static_cast<int>(t.Integer("shard"));
     v.hosts = static_cast<int>(t.Integer("hosts"));
+    if (v.checked && v.hosts != 1)
+      throw std::runtime_error("export '" + v.front.name + "': hosts is " + std::to_string(v.hosts) +
+                               "; with checksums one initiator writes it: allowed is 1");
     v.box = t.Text("box");
     v.remote = t.Has("remote") ? t.Text("remote") : v.front.name;
     const auto box =
--- a/src/nbd/payload.h
+++ b/src/nbd/payload.h
@@ -6,15 +6,17 @@
 #include <vector>
 
 #include "core/engine.h"
+#include "integrity/slice.h"
 #include "nbd/codec.h"
 
 namespace walnutspur::nbd {
 
 struct CommandPayload : core::Payload {
-  Request request;     // with the cookie of the client; a box gets one of its own
-  std::string remote;  // the export at the box
-  int path = 0;        // by which of the box's addresses
-  int volume = -1;     // of the configuration, if the initiator keeps its checksums
+  Request request;                     // with the cookie of the client; a box gets one of its own
+  std::vector<integrity::Slice> tail;  // of a write: what follows the request's own data
+  std::string remote;                  // the export at the box
+  int path = 0;                        // by which of the box's addresses
+  int volume = -1;                     // of the configuration, if the initiator keeps its checksums
 };
 struct ReplyPayload : core::Payload {
   std::vector<Piece> pieces;
--- a/tests/fuzz/integrity_fuzz.cpp
+++ b/tests/fuzz/integrity_fuzz.cpp
@@ -1,10 +1,13 @@
-// libFuzzer on all that reads bytes from outside: digest fields, superblock, tag blocks, records and the
-// ledger. The first byte says which. Beside not crashing, what is taken must be given back the same.
+// libFuzzer on all that reads bytes from outside: digest fields, superblock, tag blocks, records, the
+// ledger and the scrub's cursors. The first byte says which. Beside not crashing, what is taken must be given
+// back the same.
 #include <cstdint>
 #include <cstdlib>
 #include <string>
 #include <string_view>
 
+#include "integrity/crc32c.h"
+#include "integrity/cursor.h"
 #include "integrity/digest.h"
 #include "integrity/layout.h"
 #include "integrity/ledger.h"
@@ -62,6 +65,15 @@
   Must(again.Decode(ledger.Encode(), &what) && again.entries() == ledger.entries());
 }
 
+// With a sum that fits, so that what lies behind it is reached.
+void ReadCursors(std::string_view bytes) {
+  std::string what, text = "walnutspur-scrub 1\n" + std::string(bytes) + "\n";
+  text += "sum " + std::to_string(Crc32c(text)) + "\n";
+  const auto cursors = DecodeCursors(text, &what);
+  Must(cursors || !what.empty());
+  if (cursors) Must(DecodeCursors(Encode(*cursors), &what) == cursors);
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
@@ -82,6 +94,7 @@
       break;
     case 4:
       Ledgers(bytes);
+      ReadCursors(bytes);
       break;
   }
   return 0;
--- a/tests/integrity/damage_test.cpp
+++ b/tests/integrity/damage_test.cpp
@@ -92,10 +92,10 @@
       if (io.purpose != IoFor::kApply || io.offset != block * kBlock) return IoEnd::kDone;
       ++hit;
       *ran = false;  // and yet it says that it is done
-      if (damage == Damage::kAstray) w.driver.disk().Write(other * kBlock, io.data, false);
+      if (damage == Damage::kAstray) w.driver.disk().Write(other * kBlock, io.All(), false);
       if (damage == Damage::kTorn) {
         const auto sectors = 1 + w.driver.disk().Draw(7);
-        w.driver.disk().Write(io.offset, io.data.substr(0, sectors * kSector), false);
+        w.driver.disk().Write(io.offset, io.All().substr(0, sectors * kSector), false);
       }
       return IoEnd::kDone;
     };
--- a/tests/integrity/driver.cpp
+++ b/tests/integrity/driver.cpp
@@ -48,7 +48,7 @@
   if (on_io) end = on_io(io, &data, &ran);
   if (ran) {
     if (io.kind == IoKind::kRead && data.empty()) data = disk_.Read(io.offset, io.length);
-    if (io.kind == IoKind::kWrite) disk_.Write(io.offset, io.data, io.fua);
+    if (io.kind == IoKind::kWrite) disk_.Write(io.offset, io.All(), io.fua);
     if (io.kind == IoKind::kFlush) disk_.Flush(marks_.at(io.id));
   }
   marks_.erase(io.id);
@@ -67,8 +67,8 @@
   for (const Io& io : waiting_) {
     if (io.kind != IoKind::kWrite) continue;
     const auto fate = disk_.Draw(3);  // lost, carried out, or cut off
-    if (fate == 1) disk_.Write(io.offset, io.data, false);
-    if (fate == 2 && power) disk_.CrashInside(io.offset, io.data);
+    if (fate == 1) disk_.Write(io.offset, io.All(), false);
+    if (fate == 2 && power) disk_.CrashInside(io.offset, io.All());
   }
   waiting_.clear();
   marks_.clear();
@@ -83,7 +83,7 @@
   command.kind = kind;
   command.offset = offset;
   command.length = length;
-  command.data = std::move(data);
+  if (kind == Command::Kind::kWrite) command.data = Own(std::move(data));
   command.fua = fua;
   volume_->Submit(command);
   Take();
--- a/tests/net/checked_test.cpp
+++ b/tests/net/checked_test.cpp
@@ -2,9 +2,17 @@
 // damage.
 #include <doctest/doctest.h>
 #include <poll.h>
+#include <sys/socket.h>
+#include <sys/un.h>
+#include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
+#include <nlohmann/json.hpp>
 
+#include "app/control.h"
+#include "integrity/cursor.h"
+#include "keep/whole_file.h"
 #include "lab/box/box.h"
 #include "lab/discovery.h"
 #include "lab/process.h"
@@ -29,7 +37,9 @@
 }
 
 struct World {
-  explicit World(int paths, bool scrub = false, std::uint64_t seed = 1) : box(Options(paths, seed)) {
+  explicit World(int paths, bool scrub = false, std::uint64_t seed = 1,
+                 std::uint16_t flags = lab::BoxOptions().flags)
+      : box_fits(flags == lab::BoxOptions().flags), box(Options(paths, seed, flags)) {
     box.WithDisk([](lab::Disk& disk) {
       for (const auto& io : integrity::FormatPlan(kSize, integrity::kUsualJournal, 42)) {
         if (io.kind == integrity::IoKind::kWrite) disk.Write(io.offset, io.data, true);
@@ -58,11 +68,12 @@
   }
   ~World() { End(); }
 
-  static lab::BoxOptions Options(int paths, std::uint64_t seed) {
+  static lab::BoxOptions Options(int paths, std::uint64_t seed, std::uint16_t flags) {
     lab::BoxOptions options;
     options.size = kSize;
     options.paths = paths;
     options.seed = seed;
+    options.flags = flags;
     return options;
   }
   void Tell(const std::string& phase) {
@@ -79,7 +90,8 @@
     thread = std::thread([this] { initiator->Run(); });
     client = Connect();
     // Attached once the list is there: until then a read is refused or waits.
-    for (int i = 0; i < 200 && client->Read(0, 512).error != nbd::kOk; ++i) poll(nullptr, 0, 10);
+    const int tries = box_fits ? 200 : 1;
+    for (int i = 0; i < tries && client->Read(0, 512).error != nbd::kOk; ++i) poll(nullptr, 0, 10);
   }
   void End() {
     client.reset();
@@ -136,6 +148,7 @@
     return std::nullopt;
   }
 
+  bool box_fits = true;
   lab::Folder folder;
   lab::Box box;
   lab::Discovery discovery;
@@ -245,6 +258,73 @@
   CHECK(ledger.entries().size() == 1);
 }
 
+TEST_CASE(
+    "a box that could not keep the order of writes gets none, and is told apart from one that is away") {
+  for (const std::uint16_t lacks : {nbd::kSendFlush, std::uint16_t(nbd::kSendFua | nbd::kCanMultiConn)}) {
+    World w(1, false, 1, static_cast<std::uint16_t>(lab::BoxOptions().flags & ~lacks));
+    const std::string before = w.box.WithDisk([](lab::Disk& disk) { return disk.Read(0, kSize); });
+    for (int i = 0; i < 2; ++i) CHECK(w.client->Write(0, std::string(kBlock, 'x')).error != nbd::kOk);
+    CHECK(w.box.WithDisk([](lab::Disk& disk) { return disk.Read(0, kSize); }) == before);
+  }
+}
+
+TEST_CASE("an operator asks a running process, and the scrub goes on where the last process stood") {
+  World w(1, true);
+  const std::string path = app::ControlPath(w.folder.path());
+  const auto ask = [&](const std::string& line) { return app::AskControl(path, line); };
+  nlohmann::json status = nlohmann::json::parse(ask("status"));
+  CHECK(status["exports"][0]["state"] == "ready");
+  CHECK(status["paths"][0]["state"] == "healthy");
+  for (int i = 0; i < 500 && status["scrub"]["exports"][0]["position"] < 20; ++i) {
+    poll(nullptr, 0, 20);
+    status = nlohmann::json::parse(ask("status"));
+  }
+  CHECK(ask("pause") == "ok\n");
+  CHECK(nlohmann::json::parse(ask("status"))["scrub"]["paused"] == true);
+  CHECK(ask("recheck letters 3") == "ok\n");
+  CHECK(ask("recheck letters 99999999").starts_with("error: 99999999 is no block"));
+  CHECK(ask("recheck letters x").starts_with("error: x is no block"));
+  CHECK(ask("recheck nothing 1").starts_with("error: there is no export"));
+  CHECK(ask("format letters").starts_with("error: unknown command; allowed are"));
+  CHECK(ask(std::string(600, 'x')).starts_with("error: the line is too long"));
+  // Another process in the same folder takes neither the socket nor the first one's place.
+  CHECK_THROWS_WITH(app::Control(w.initiator->base(), path, nullptr),
+                    (path + " belongs to another process that runs").c_str());
+  status = nlohmann::json::parse(ask("status"));
+  const auto position = status["scrub"]["exports"][0]["position"].get<std::uint64_t>();
+  const auto rounds = status["scrub"]["exports"][0]["rounds"].get<std::uint64_t>();
+  w.End();
+  CHECK_FALSE(std::filesystem::exists(path));
+  std::string what;
+  const auto kept = integrity::DecodeCursors(*keep::ReadWhole(w.folder.path() + "/scrub.cursor"), &what);
+  REQUIRE(kept);
+  CHECK(kept->at("letters").block / 16 + 1 >= position);
+  CHECK(kept->at("letters").rounds >= rounds);
+  w.options.scrub.job.requests_a_second = 0.1;  // so that it stays where it begins
+  w.options.scrub.job.floor_a_second = 0;
+  w.Begin();
+  status = nlohmann::json::parse(ask("status"));
+  CHECK(status["scrub"]["exports"][0]["position"] >= position);
+  CHECK(status["scrub"]["exports"][0]["rounds"] >= rounds);
+}
+
+TEST_CASE("a control socket that a dead process left is replaced, and a file of another kind is not") {
+  const lab::Folder folder;
+  const std::string path = app::ControlPath(folder.path());
+  const loop::BaseRef base(event_base_new());
+  sockaddr_un address{};
+  address.sun_family = AF_UNIX;
+  path.copy(address.sun_path, sizeof address.sun_path - 1);
+  const int fd = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  REQUIRE(bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+  close(fd);  // its name stays
+  { const app::Control control(base.get(), path, nullptr); }
+  folder.Put("control.sock", "a letter");
+  CHECK_THROWS_WITH(app::Control(base.get(), path, nullptr), (path + " is there and is no socket").c_str());
+  CHECK(keep::ReadWhole(path) == "a letter");
+  CHECK_THROWS(app::Control(base.get(), path + std::string(120, 'x'), nullptr));
+}
+
 TEST_CASE("an export that is not formatted is refused, and not a byte of it is changed") {
   World w(1);
   w.End();
