Pool what hosts learn of quiet boxes, and play fleets in virtual time

Cause, by the event log of 1,000 initiators by 60 boxes in which one plan asks six times as much: each host hears of a box once in seconds, so its bound there never falls; boxes held 1,550 to 1,970 requests where 5 hosts leave 750, and 20 % of answers were late. Change: a host keeps one more bound from the answers of all boxes and uses it for a box not heard of for 0.5 s; the least bound shrinks beyond 200 hosts. Cells in which nothing waits are passed over (the log's sum is unchanged by that).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 CONFIG ?= $(BALANCER_CONFIG)
 
-.PHONY: build bench-integrity fuzz-integrity test lint sanitize tsan run clean
+.PHONY: build bench-integrity bench-lab fuzz-integrity test lint sanitize sanitize-build tsan tsan-build run clean
 
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
@@ -13,15 +13,19 @@
 	cmake --build build-test -j4
 	ctest --test-dir build-test --output-on-failure
 
-sanitize:  # addresses and undefined behaviour
+sanitize-build:
 	cmake -B build-sanitize -DCMAKE_BUILD_TYPE=Debug -DWALNUTSPUR_TESTS=ON -DWALNUTSPUR_WERROR=ON -DWALNUTSPUR_SANITIZE=ON
 	cmake --build build-sanitize -j4
+
+sanitize: sanitize-build  # addresses and undefined behaviour
 	ctest --test-dir build-sanitize --output-on-failure
 
-tsan:  # threads: the queues between the engine and the sockets
+tsan-build:
 	cmake -B build-tsan -DCMAKE_BUILD_TYPE=Debug -DWALNUTSPUR_TESTS=ON -DWALNUTSPUR_WERROR=ON -DWALNUTSPUR_TSAN=ON
-	cmake --build build-tsan -j4 --target walnutspur_net_tests
-	ctest --test-dir build-tsan --output-on-failure -R net_tests
+	cmake --build build-tsan -j4 --target walnutspur_net_tests walnutspur_unit_tests
+
+tsan: tsan-build  # threads: the queues between the engine and the sockets, and the one that keeps files
+	ctest --test-dir build-tsan --output-on-failure -R "net_tests|unit_tests"
 
 lint:
 	find src include tests examples -name '*.cpp' -o -name '*.h' | xargs clang-format --dry-run --Werror
@@ -34,6 +38,12 @@
 	cmake --build $(BUILD) -j4 --target walnutspur_main walnutspur_box walnutspur_bench_integrity
 	$(BUILD)/walnutspur_bench_integrity $(BUILD)/walnutspur $(PARTS)
 
+# The fleet in virtual time: SEED=N, SHORT=1, PARTS="size worlds signs sizes" are all of it.
+bench-lab:
+	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
+	cmake --build $(BUILD) -j4 --target walnutspur_lab_program walnutspur_bench_lab
+	$(BUILD)/walnutspur_bench_lab $(PARTS)
+
 # SECONDS_EACH=N fuzzes for longer. New inputs stay in the build folder; the corpus is the tree's.
 SECONDS_EACH ?= 15
 fuzz-integrity:
--- a/bench/integrity.cpp
+++ b/bench/integrity.cpp
@@ -715,7 +715,8 @@
   g_box = g_program + "_box";     // built beside it
   std::signal(SIGPIPE, SIG_IGN);  // what is killed here leaves connections behind
   if (const char* seed = std::getenv("SEED")) g_seed = std::strtoull(seed, nullptr, 10);
-  g_short = std::getenv("SHORT") != nullptr;
+  const char* brief = std::getenv("SHORT");
+  g_short = brief && *brief;
   const std::set<std::string> parts(argv + 2, argv + argc);
   const auto wanted = [&](const char* part) { return parts.empty() || parts.contains(part); };
   try {
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -53,7 +53,7 @@
       if (!key.fallback.empty()) {
         const toml::table made = toml::parse("x = " + key.fallback);
         Take(key, path, *made.get("x"), 0, out);
-      } else if (key.needed) {
+      } else if (key.needed && !out->lines.contains(path)) {
         problems.push_back({line, key.path, "is missing; allowed is " + Allowed(key)});
       }
     }
@@ -100,6 +100,7 @@
     const auto wrong = [&](const std::string& what) {
       problems.push_back({line, key.path, what + "; allowed is " + Allowed(key)});
     };
+    out->lines[path] = line;  // it is there, be it wrong
     const auto in_range = [&](double value) { return value >= key.least && value <= key.most; };
     switch (key.kind) {
       case Kind::kBool:
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -6,8 +6,15 @@
 
 namespace walnutspur::core {
 
-Engine::Engine(const Settings& settings, std::uint64_t seed)
-    : scheduler_(settings, seed), try_limit_(settings.try_limit) {
+Engine::Engine(const Settings& settings, std::uint64_t seed) : Engine(settings, Decide()) {
+  scheduler_ = std::make_unique<Scheduler>(settings, seed);
+  decide_ = [scheduler = scheduler_.get()](const Event& event, Time now) {
+    return scheduler->Handle(event, now);
+  };
+}
+
+Engine::Engine(const Settings& settings, Decide decide)
+    : decide_(std::move(decide)), try_limit_(settings.try_limit) {
   for (const RequestClass& cls : settings.classes) aims_.push_back(cls.aim);
 }
 
@@ -28,7 +35,7 @@
   while (!pending_.empty()) {
     const Event next = std::move(pending_.front());
     pending_.erase(pending_.begin());
-    for (const Action& action : scheduler_.Handle(next, now_))
+    for (const Action& action : decide_(next, now_))
       std::visit([this](const auto& a) { Do(a); }, action);
   }
 }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -7,6 +7,7 @@
 #define WALNUTSPUR_CORE_ENGINE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -109,9 +110,14 @@
 };
 using Output = std::variant<Attempt, Cancel, Withdraw, Welcome, Answer, Ring, Watch, Check>;
 
+// What the engine asks for decisions: Scheduler::Handle, or another's in its place.
+using Decide = std::function<std::vector<Action>(const Event&, Time)>;
+
 class Engine {
  public:
   Engine(const Settings& settings, std::uint64_t seed);
+  // With other decisions than the module's: baselines that it is held against.
+  Engine(const Settings& settings, Decide decide);
 
   std::vector<Output> Start(Time now);
   // Takes one input that happens at `now`; returns what to do, in order.
@@ -120,7 +126,7 @@
   std::size_t open() const { return requests_.size(); }  // requests with something outstanding
   // Entries in all tables, the module's too.
   std::size_t remembered() const {
-    return scheduler_.remembered() + requests_.size() + names_.size() + live_.size() + pending_.size();
+    return (scheduler_ ? scheduler_->remembered() : 0) + requests_.size() + names_.size() + live_.size() + pending_.size();
   }
 
  private:
@@ -159,7 +165,8 @@
   void Forget(Serial serial);
   Requests::iterator Find(const RequestId& id);
 
-  Scheduler scheduler_;
+  std::unique_ptr<Scheduler> scheduler_;  // null: others decide
+  Decide decide_;
   int try_limit_;
   std::vector<Time> aims_;  // by class
   std::size_t out_ = 0;     // attempts without an outcome, of all requests
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -34,7 +34,8 @@
 constexpr double kDepthStart = 3;    // usual requests out at a node not known yet: all hosts start at once
 constexpr double kDepthMost = 64;    // usual requests; beyond it latency no longer tells anything
 constexpr double kReserveSpan = 2;   // s of this host's reserved rate at a node that may always be out
-constexpr double kPaceLeast = 0.05;  // usual requests: the bound of a host among hundreds
+constexpr double kPaceLeast = 0.05;  // usual requests: the bound of a host among as many as the next line says
+constexpr double kPaceHosts = 200;   // and of more less: each has a part of a box that shrinks with them
 constexpr double kAimForPace = 0.2;  // like kAimForWait, for a bound under one usual request: one answer
                                      // cannot tell a little waiting from uneven work
 constexpr double kUneven = 2;        // times its least work: what an answer may take longer by itself
@@ -167,7 +168,10 @@
   int samples = 0;
 };
 
-using Streams = std::map<int, Stream>;  // of one cell, by the volume's number: addresses have no fixed order
+struct Streams
+    : std::map<int, Stream> {  // of one cell, by the volume's number: addresses have no fixed order
+  std::size_t held = 0;        // requests in their queues: most cells of a large fleet hold none
+};
 
 struct Key {
   std::deque<Ref> chain;  // the requests that carry it, in the order they were taken
@@ -442,6 +446,7 @@
     if (r->attempts == 0) st.came += r->units;
     st.last = now_;
     r->stream = &st;
+    ++cells_[cell].held;
     const Node* node = Holder(cell);
     r->tag_floor = node ? node->vtime : 0;
     auto& queue = st.queues[r->cls];
@@ -454,7 +459,7 @@
 
   void Drop(const Ref& r) {
     if (!r->stream) return;
-    std::erase(r->stream->queues[r->cls], r);
+    cells_[r->stream->cell].held -= std::erase(r->stream->queues[r->cls], r);
   }
 
   Node* Holder(int cell) {
@@ -470,9 +475,7 @@
       if (!node->live || !node->takes_new) continue;
       const double follow = node->placed.Now(now_, kPlacedFades);
       double cost = ExpectedWait(*node) + (UnitsOut(*node) + r.units + follow) * node->unit_time;
-      for (const auto& [number, st] : cells_[cell]) {
-        for (const auto& queue : st.queues) cost += queue.size() * s_.usual_units * node->unit_time;
-      }
+      cost += cells_[cell].held * s_.usual_units * node->unit_time;
       if (node->rest_until > now_) cost += double(node->rest_until - now_);
       cost += node->refusals * tightest_aim_;  // down until an answer shows otherwise
       if (Cold(*node)) cost += tightest_aim_;
@@ -509,13 +512,14 @@
   }
 
   void Pump(Node& node) {
-    if (!node.live || now_ < node.rest_until || Holder(node.cell) != &node) return;
+    Streams& streams = cells_[node.cell];
+    if (streams.held == 0 || !node.live || now_ < node.rest_until || Holder(node.cell) != &node) return;
     while (true) {
       Ref best;
       int best_grade = 0;
       bool best_reserved = false, best_late = false;
       double best_tag = 0;
-      for (auto& [number, st] : cells_[node.cell]) {
+      for (auto& [number, st] : streams) {
         Volume* volume = st.volume;
         bool filled = false;
         for (auto& queue : st.queues) {
@@ -552,11 +556,13 @@
       const bool busy =
           !trial && (out > 0 || (best_late && unheard) || wait > kAimForWait * Patience() * tightest_aim_);
       Bound& bound = best_reserved ? node.reserve : node.share;
+      Bound& all = best_reserved ? reserve_ : share_;
+      const double units = unheard ? std::min(bound.units, all.units) : bound.units;
       // Of hundreds of hosts each always having one request out swamps a node: below that, sends are paced.
-      const double gap = (best->units / bound.units - 1) * (best->units * node.unit_time + node.wait);
-      const bool full = out > 0 ? out + best->units > bound.units : double(now_ - node.last_send) < gap;
+      const double gap = (best->units / units - 1) * (best->units * node.unit_time + node.wait);
+      const bool full = out > 0 ? out + best->units > units : double(now_ - node.last_send) < gap;
       if ((busy && best_late) || (!trial && full)) {
-        bound.hit = true;
+        bound.hit = all.hit = true;
         return;
       }
       if (!ColdRoom(node, best->units)) return;
@@ -719,6 +725,7 @@
   // The bound follows latency: up while waiting stays under what is allowed, down in proportion beyond it.
   void AdaptDepth() {
     next_depth_ = now_ + kDepthEvery;
+    double excess = 0, work = 0, samples = 0;
     for (auto& [target, node] : nodes_) {
       std::erase_if(node.out, [&, &n = node](const Attempt& a) { return a.until > 0 && Gone(a, n); });
       for (const Attempt& a : node.out) {  // what is stuck counts as at least its age
@@ -731,14 +738,20 @@
         }
       }
       if (node.samples == 0) continue;
-      const double aim = tightest_aim_ * Patience();
-      const double wait = node.excess / node.samples / aim;
-      const double uneven = kUneven * node.work / node.samples / aim;
-      Adapt(node.share, 0, wait / (node.share.units > s_.usual_units ? kAimForWait : kAimForPace + uneven));
-      Adapt(node.reserve, kReserveSpan * node.reserved_rate, wait / kAimForReserve);
+      AdaptBoth(node.share, node.reserve, kReserveSpan * node.reserved_rate, node.excess / node.samples,
+                node.work / node.samples);
+      excess += node.excess, work += node.work, samples += node.samples;
       node.excess = node.work = 0;
       node.samples = 0;
     }
+    if (samples > 0) AdaptBoth(share_, reserve_, 0, excess / samples, 0);
+  }
+
+  void AdaptBoth(Bound& share, Bound& reserve, double least, double excess, double work) const {
+    const double aim = tightest_aim_ * Patience();
+    const double uneven = kUneven * work / aim;
+    Adapt(share, 0, excess / aim / (share.units > s_.usual_units ? kAimForWait : kAimForPace + uneven));
+    Adapt(reserve, least, excess / aim / kAimForReserve);
   }
 
   // `ratio` is the wait over what is allowed. What bounds drift up is shared by the hosts: where each of
@@ -749,7 +762,7 @@
     const double drift = kDepthDrift * std::min(bound.units, part);
     const double wanted = bound.units / std::max(0.5, ratio) + drift;
     if (wanted < bound.units || bound.hit) bound.units += kDepthGain * (wanted - bound.units);
-    least = std::max(least, kPaceLeast * s_.usual_units);
+    least = std::max(least, kPaceLeast * std::min(1.0, kPaceHosts / s_.instances) * s_.usual_units);
     bound.units = std::clamp(bound.units, least, kDepthMost * s_.usual_units);
     bound.hit = false;
   }
@@ -934,6 +947,7 @@
   void Sweep() {
     std::vector<Ref> lost;
     for (auto& [cell, streams] : cells_) {
+      if (streams.held == 0) continue;
       const Node* node = Holder(cell);
       const double unit_time = node ? node->unit_time : kFirstUnitTime;
       for (auto& [number, st] : streams) {
@@ -968,6 +982,9 @@
   double tightest_aim_ = 0;
   double leave_age_ = 1;  // over its aim, at which clients leave
   Fading left_, stayed_;  // clients that left before their aim, and that stayed beyond that age
+  Bound share_{kDepthStart * s_.usual_units},
+      reserve_ = share_;  // of a node not heard of lately, by the answers of all: among hundreds of hosts
+                          // one node's answers come too seldom to follow a surge
   Fading waits_, heard_;  // queueing at all nodes lately, us, and how many answers told it
   std::vector<Action> actions_;
   std::map<TargetId, Node> nodes_;
--- /dev/null
+++ b/src/lab/random.h
@@ -0,0 +1,37 @@
+// Random numbers of an experiment: one seed, and a stream of its own for each purpose, so that more draws for
+// one purpose change no other. A run repeats from its seed alone.
+#ifndef WALNUTSPUR_LAB_RANDOM_H_
+#define WALNUTSPUR_LAB_RANDOM_H_
+
+#include <cmath>
+#include <cstdint>
+#include <pcg_random.hpp>
+#include <string_view>
+
+namespace walnutspur::lab {
+
+class Random {
+ public:
+  // The stream is chosen by its name (FNV-1a) and a number.
+  Random(std::uint64_t seed, std::string_view name, std::uint64_t number = 0)
+      : pcg_(seed, Hash(name) ^ (number * 0x9e3779b97f4a7c15ull)) {}
+
+  std::uint64_t Below(std::uint64_t bound) { return bound <= 1 ? 0 : pcg_(bound); }
+  double Part() { return static_cast<double>(pcg_() >> 11) * 0x1.0p-53; }  // [0, 1)
+  bool Chance(double part) { return Part() < part; }
+  double Between(double least, double most) { return least + (most - least) * Part(); }
+  double Exponential(double mean) { return -mean * std::log1p(-Part()); }
+
+  static std::uint64_t Hash(std::string_view name) {
+    std::uint64_t hash = 0xcbf29ce484222325ull;
+    for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ull;
+    return hash;
+  }
+
+ private:
+  pcg64 pcg_;
+};
+
+}  // namespace walnutspur::lab
+
+#endif  // WALNUTSPUR_LAB_RANDOM_H_
