--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -35,8 +35,7 @@
   while (!pending_.empty()) {
     const Event next = std::move(pending_.front());
     pending_.erase(pending_.begin());
-    for (const Action& action : decide_(next, now_))
-      std::visit([this](const auto& a) { Do(a); }, action);
+    for (const Action& action : decide_(next, now_)) std::visit([this](const auto& a) { Do(a); }, action);
   }
 }
 
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -126,7 +126,8 @@
   std::size_t open() const { return requests_.size(); }  // requests with something outstanding
   // Entries in all tables, the module's too.
   std::size_t remembered() const {
-    return (scheduler_ ? scheduler_->remembered() : 0) + requests_.size() + names_.size() + live_.size() + pending_.size();
+    return (scheduler_ ? scheduler_->remembered() : 0) + requests_.size() + names_.size() + live_.size() +
+           pending_.size();
   }
 
  private:
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -34,8 +34,8 @@
 constexpr double kDepthStart = 3;    // usual requests out at a node not known yet: all hosts start at once
 constexpr double kDepthMost = 64;    // usual requests; beyond it latency no longer tells anything
 constexpr double kReserveSpan = 2;   // s of this host's reserved rate at a node that may always be out
-constexpr double kPaceLeast = 0.05;  // usual requests: the bound of a host among as many as the next line says
-constexpr double kPaceHosts = 200;   // and of more less: each has a part of a box that shrinks with them
+constexpr double kPaceLeast = 0.05;  // usual requests: the least bound of a host,
+constexpr double kPaceHosts = 200;   // among so many; of more hosts each has a smaller part of a box
 constexpr double kAimForPace = 0.2;  // like kAimForWait, for a bound under one usual request: one answer
                                      // cannot tell a little waiting from uneven work
 constexpr double kUneven = 2;        // times its least work: what an answer may take longer by itself
