Run the sanitizers' tests side by side

Cause: the laboratory's tests take about as long under ASan as the network's, which mostly wait for timers. Change: ctest -j3 for the sanitized build.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	cmake --build build-sanitize -j4
 
 sanitize: sanitize-build  # addresses and undefined behaviour
-	ctest --test-dir build-sanitize --output-on-failure
+	ctest --test-dir build-sanitize --output-on-failure -j3
 
 tsan-build:
 	cmake -B build-tsan -DCMAKE_BUILD_TYPE=Debug -DWALNUTSPUR_TESTS=ON -DWALNUTSPUR_WERROR=ON -DWALNUTSPUR_TSAN=ON
