--- a/src/app/control.h
+++ b/src/app/control.h
@@ -42,8 +42,8 @@
   std::uint64_t next_ = 1;
 };
 
-// The answer of the process that listens there; blocks for `ms` at most. Throws std::runtime_error with one
-// line if nobody answers.
+// The answer of the process that listens there; waits `ms` at most for each part of it. Throws
+// std::runtime_error with one line if nobody answers.
 std::string AskControl(const std::string& path, const std::string& line, int ms = 2000);
 inline std::string ControlPath(const std::string& folder) { return folder + "/control.sock"; }
 
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -69,7 +69,7 @@
        "\"\"",
        {},
        false,
-       "where the damage ledger is kept; empty: in memory only"},
+       "keeps the damage ledger, the scrub's cursors and the control socket; empty: the ledger is in memory"},
       {"scrub.on",
        Kind::kBool,
        0,
