Use cold boxes by present demand, and let a lost zone's silence throttle no other

For 31 cold boxes the hosts' own shares ("urate") summed to 12 to 17 units a second where the boxes had served 14 to 36, half of that "even over nodes": a box saw work from 23 of 100 hosts, so four fifths of it stood idle. At the same time the healthy zone refused 25 to 37 % of its lookups with nothing out ("refuse:held idle ... all0.1015/0.1015"), at calm latencies: the bound that all answers share had fallen to its least. Ruled out: late news of the list (told 1 to 2.5 s after the starts), full boxes (none), CPU (0.01 s a second).

At fault: decide.cpp, Learn (service faded through the outage and was divided by all time since the start; half dealt out evenly), ColdRoom (growth counted 2 s late, though each moment's rate under the multiple keeps every span under it), AdaptDepth and LearnLatency (attempts stuck or overdue at silent boxes went into the pool).

Changed: src/limits/ holds what a host was served and what it may send to a cold box; time in which a box was silent or cold does not count, and the half that was even follows what the host is asked now. The pools take in answers only.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -12,6 +12,7 @@
 #include <set>
 #include <unordered_map>
 
+#include "limits/cold_start.h"
 #include "walnutspur/scheduler.h"
 
 namespace walnutspur {
@@ -62,28 +63,16 @@
 constexpr int kDownDoublings = 3;      // times at most while no answer comes: back within 1.6 s
 constexpr Time kTrackRetry = 500'000;  // us between asks for a subscription after a failed call
 constexpr Time kTrackPatience = 5'000'000;  // us for an answer: longer than a call waits, well under askEvery
-constexpr double kColdCaution = 0.9;        // part of the stated allowance of a cold node that is used
-constexpr double kColdUsual = 1.3;    // part of what usual service allows there: a warm node is half used
-constexpr double kColdEven = 0.5;     // part of it taken as even over nodes: leads pass from host to host
-constexpr double kUsualFades = 2e7;   // us over which a node's usual service is seen; leads pass faster
-constexpr double kSpread = 0.2;       // random part of a placement's cost: hosts do not herd
-constexpr double kPlacedFades = 5e6;  // us; reads of new objects follow them for some seconds
-constexpr Time kFresh = 4'000'000;    // us; older reports of a volume's use say nothing of now
-constexpr int kLate = 1000;           // bands: what is likely late comes after all that is not
-constexpr Time kForget = 30'000'000;  // us after which a volume that asks for nothing is forgotten
-constexpr double kSecond = 1e6;       // us
+constexpr double kSpread = 0.2;             // random part of a placement's cost: hosts do not herd
+constexpr double kPlacedFades = 5e6;        // us; reads of new objects follow them for some seconds
+constexpr Time kFresh = 4'000'000;          // us; older reports of a volume's use say nothing of now
+constexpr int kLate = 1000;                 // bands: what is likely late comes after all that is not
+constexpr Time kForget = 30'000'000;        // us after which a volume that asks for nothing is forgotten
+constexpr double kSecond = 1e6;             // us
 
 struct Node;
 
-// A sum that fades, with the time of its last change.
-struct Fading {
-  double sum = 0;
-  Time at = 0;
-  double Now(Time now, double fades) const {
-    return sum * std::exp(-std::clamp(double(now - at) / fades, 0.0, 20.0));
-  }
-  void Add(double units, Time now, double fades) { sum = Now(now, fades) + units, at = now; }
-};
+using limits::Fading;
 
 struct Request {
   RequestId id;
@@ -125,13 +114,12 @@
   std::vector<Attempt> out;
   Bound share, reserve;  // for work beyond and inside its volume's reserve
   double unit_time = kFirstUnitTime;
-  double wait = 0;  // us of queueing lately
-  Time heard = 0;   // when that was learnt
-  Time passed = 0;  // the latest send that has come back
-  Fading placed;    // units of new objects put here
-  Fading usual;     // units served to this host while warm, kept for the node's next start
-  double usual_rate = 0, cold_tokens = 0;  // units a second before its start; what that leaves to send now
-  Time cold_filled = 0;
+  double wait = 0;              // us of queueing lately
+  Time heard = 0;               // when that was learnt
+  Time passed = 0;              // the latest send that has come back
+  Fading placed;                // units of new objects put here
+  limits::Usual usual;          // service to this host while warm, kept for the node's next start
+  limits::ColdStart cold;       // and what that leaves to send after it
   double excess = 0, work = 0;  // sums of queueing and of least work since the last step, us
   int samples = 0;
   double vtime = 0;
@@ -139,7 +127,6 @@
   Time last_send = 0;
   Time rest_until = 0;
   int refusals = 0, fulls = 0;  // connections refused and requests turned away since its last answer
-  std::deque<std::pair<Time, double>> sent;  // units, within rules.overload_for
 };
 
 struct Volume {
@@ -191,6 +178,9 @@
  public:
   Impl(const Settings& settings, std::uint64_t seed) : s_(settings), rng_(seed) {
     tightest_aim_ = 1e18;
+    const Rules& rules = s_.rules;
+    cold_rule_ = {rules.warm_up, rules.overload_for, rules.cold_share, rules.tip_multiple,
+                  s_.cold_units, s_.largest_units,   s_.instances};
     for (const RequestClass& c : s_.classes) tightest_aim_ = std::min(tightest_aim_, double(c.aim));
     if (s_.plans.empty()) s_.plans.emplace_back();
   }
@@ -249,14 +239,9 @@
       node.rest_until = 0;
       const auto before = holders_.find(e.cell);
       if (fresh && before != holders_.end()) node.usual = before->second->usual;
-      const double seen = std::max(kSecond, kUsualFades * -std::expm1(double(born_ - now_) / kUsualFades));
-      const Time start = std::min(now_, e.launched);
-      double all = 0;
-      for (const auto& [target, other] : nodes_) all += other.usual.Now(start, kUsualFades);
-      const double even = kColdEven * all / double(nodes_.size());
-      node.usual_rate = (even + (1 - kColdEven) * node.usual.Now(start, kUsualFades)) / seen * kSecond;
-      node.cold_tokens = Random() * s_.usual_units;  // hosts must not all start with a send
-      node.cold_filled = now_;
+      node.usual.Silent(std::min(now_, e.launched));
+      const double first = Random() * s_.usual_units;  // hosts must not all start with a send
+      node.cold.Start(e.launched, now_, node.usual.Rate(now_, born_), first);
     }
     node.target = e.target;
     node.cell = e.cell;
@@ -478,7 +463,7 @@
       cost += cells_[cell].held * s_.usual_units * node->unit_time;
       if (node->rest_until > now_) cost += double(node->rest_until - now_);
       cost += node->refusals * tightest_aim_;  // down until an answer shows otherwise
-      if (Cold(*node)) cost += tightest_aim_;
+      if (node->cold.Cold(cold_rule_, now_)) cost += tightest_aim_;
       cost *= 1 + kSpread * Random();
       if (best < 0 || cost < best_cost) {
         best = cell;
@@ -565,7 +550,7 @@
         bound.hit = all.hit = true;
         return;
       }
-      if (!ColdRoom(node, best->units)) return;
+      if (!node.cold.Room(cold_rule_, best->units, Demanded(node), now_)) return;
       Dispatch(best, node, best_reserved, best_tag);
     }
   }
@@ -589,8 +574,7 @@
     r->sent = now_;
     node.out.push_back({r, now_, r->units});
     node.last_send = now_;
-    node.sent.emplace_back(now_, r->units);
-    if (Cold(node)) node.cold_tokens -= r->units;
+    node.cold.Sent(cold_rule_, r->units, now_);
     // Past its aim an answer earns little, and its place in the queue costs those behind it: nodes that drop
     // what has timed out clear themselves. Not for work in order, where a time-out makes the key rest.
     const RequestClass& c = s_.classes[r->cls];
@@ -601,31 +585,14 @@
 
   // ---- cold nodes ----
 
-  bool Cold(const Node& node) const { return node.launched > 0 && now_ < node.launched + s_.rules.warm_up; }
-
-  static double Within(std::deque<std::pair<Time, double>>& log, Time since) {
-    while (!log.empty() && log.front().first <= since) log.pop_front();
-    double sum = 0;
-    for (const auto& [at, units] : log) sum += units;
-    return sum;
-  }
-
-  // Rule: cold nodes. The stated units scale with the growth that is promised at least, and the hosts share
-  // them evenly. Of hundreds of hosts none would get a request so; but what they were served before the
-  // start, a part of it as the mean over nodes, adds up to no more than warm nodes can do, so each may also
-  // send that times growth and multiple.
-  bool ColdRoom(Node& node, double units) {
-    const Time since = now_ - s_.rules.overload_for;
-    const double sent = Within(node.sent, since);
-    if (!Cold(node)) return true;
-    const double age = std::clamp(double(since - node.launched) / double(s_.rules.warm_up), 0.0, 1.0);
-    const double grown = s_.rules.cold_share + (1 - s_.rules.cold_share) * age;
-    const double stated = s_.cold_units * grown / s_.rules.cold_share;
-    const double rate = kColdUsual * s_.rules.tip_multiple * grown * node.usual_rate;
-    node.cold_tokens =
-        std::min(s_.largest_units, node.cold_tokens + rate * (now_ - node.cold_filled) / kSecond);
-    node.cold_filled = now_;
-    return node.cold_tokens >= units || sent + units <= kColdCaution * stated / s_.instances;
+  // Units a second that this host would be served at the node if what all nodes serve it were dealt out by
+  // what it is asked now: leads pass from host to host, and a host that has none must not keep room for one.
+  double Demanded(const Node& node) {
+    double here = 0, all = 1e-9;
+    const auto asked = [](const auto& item) { return item.second.rate + item.second.came / 2; };
+    for (const auto& stream : cells_[node.cell]) here += asked(stream);
+    for (const auto& volume : volumes_) all += asked(volume);
+    return usual_all_ * here / std::max(here, all);
   }
 
   // ---- what outcomes teach ----
@@ -644,7 +611,9 @@
       v.reserve -= reserved;
       st.finish = std::max(st.finish, node.vtime) + (d.others_got - reserved) / v.plan->parts;
     }
-    if (d.outcome == Outcome::kCompleted && !Cold(node)) node.usual.Add(r.units, now_, kUsualFades);
+    if (d.outcome == Outcome::kCompleted && !node.cold.Cold(cold_rule_, now_))
+      node.usual.Served(r.units, now_);
+    if (d.outcome == Outcome::kOverdue || d.outcome == Outcome::kRefusedConn) node.usual.Silent(now_);
   }
 
   void LearnLatency(const Request& r, const Done& d, Node& node) {
@@ -672,8 +641,12 @@
     node.excess += queueing;
     node.work += r.units * node.unit_time;
     ++node.samples;
-    waits_.Add(std::min(queueing, tightest_aim_), now_, kFleetFades);
-    heard_.Add(1, now_, kFleetFades);
+    if (d.outcome == Outcome::kCompleted) {  // a lost zone's silence says nothing of the other nodes
+      waits_.Add(std::min(queueing, tightest_aim_), now_, kFleetFades);
+      heard_.Add(1, now_, kFleetFades);
+      told_.excess += queueing;
+      ++told_.samples;
+    }
     if (r.stream) {
       r.stream->lateness += double(now_ - r.came) / s_.classes[r.cls].aim;
       ++r.stream->samples;
@@ -725,7 +698,8 @@
   // The bound follows latency: up while waiting stays under what is allowed, down in proportion beyond it.
   void AdaptDepth() {
     next_depth_ = now_ + kDepthEvery;
-    double excess = 0, work = 0, samples = 0;
+    usual_all_ = 0;
+    for (auto& [cell, node] : holders_) usual_all_ += node->usual.Rate(now_, born_);
     for (auto& [target, node] : nodes_) {
       std::erase_if(node.out, [&, &n = node](const Attempt& a) { return a.until > 0 && Gone(a, n); });
       for (const Attempt& a : node.out) {  // what is stuck counts as at least its age
@@ -740,11 +714,11 @@
       if (node.samples == 0) continue;
       AdaptBoth(node.share, node.reserve, kReserveSpan * node.reserved_rate, node.excess / node.samples,
                 node.work / node.samples);
-      excess += node.excess, work += node.work, samples += node.samples;
       node.excess = node.work = 0;
       node.samples = 0;
     }
-    if (samples > 0) AdaptBoth(share_, reserve_, 0, excess / samples, 0);
+    if (told_.samples > 0) AdaptBoth(share_, reserve_, 0, told_.excess / told_.samples, 0);
+    told_ = {};
   }
 
   void AdaptBoth(Bound& share, Bound& reserve, double least, double excess, double work) const {
@@ -980,11 +954,17 @@
   std::mt19937_64 rng_;
   Time now_ = 0, born_ = 0, next_interval_ = 0, next_depth_ = 0, track_at_ = -1;
   double tightest_aim_ = 0;
+  limits::ColdRule cold_rule_;
+  double usual_all_ = 0;  // units a second that this host is served at all nodes
   double leave_age_ = 1;  // over its aim, at which clients leave
   Fading left_, stayed_;  // clients that left before their aim, and that stayed beyond that age
   Bound share_{kDepthStart * s_.usual_units},
       reserve_ = share_;  // of a node not heard of lately, by the answers of all: among hundreds of hosts
                           // one node's answers come too seldom to follow a surge
+  struct {
+    double excess = 0;
+    int samples = 0;
+  } told_;                // by answers of all nodes since the last step
   Fading waits_, heard_;  // queueing at all nodes lately, us, and how many answers told it
   std::vector<Action> actions_;
   std::map<TargetId, Node> nodes_;
@@ -1000,7 +980,7 @@
 std::size_t Scheduler::Impl::Remembered() const {
   std::size_t count = nodes_.size() + volumes_.size() + requests_.size() + keys_.size() + arrivals_.size();
   for (const auto& [cell, streams] : cells_) count += streams.size();
-  for (const auto& [target, node] : nodes_) count += node.out.size() + node.sent.size();
+  for (const auto& [target, node] : nodes_) count += node.out.size() + node.cold.remembered();
   return count + further_.size();
 }
 
--- /dev/null
+++ b/src/limits/cold_start.cpp
@@ -0,0 +1,70 @@
+#include "limits/cold_start.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace walnutspur::limits {
+namespace {
+
+constexpr double kSecond = 1e6;      // us
+constexpr double kCaution = 0.9;     // part of the stated allowance that is used
+constexpr double kPart = 1.3;        // part of what usual service allows: a warm box is half used
+constexpr double kMoved = 0.5;       // part of it dealt out by present demand: leads pass from host to host
+constexpr double kUsualFades = 2e7;  // us over which usual service is seen; leads pass faster
+
+}  // namespace
+
+void Usual::Served(double units, Time now) {
+  if (silent_ >= 0) served_.at += now - silent_;  // the gap does not count
+  silent_ = -1;
+  served_.Add(units, now, kUsualFades);
+}
+
+void Usual::Silent(Time now) {
+  if (silent_ < 0) silent_ = now;
+}
+
+double Usual::Rate(Time now, Time born) const {
+  const Time until = silent_ >= 0 ? std::min(now, silent_) : now;
+  const double seen = std::max(kSecond, kUsualFades * -std::expm1(double(born - until) / kUsualFades));
+  return served_.Now(until, kUsualFades) / seen * kSecond;
+}
+
+void ColdStart::Start(Time launched, Time now, double usual, double first) {
+  launched_ = launched;
+  usual_ = usual;
+  tokens_ = first;
+  filled_ = now;
+}
+
+bool ColdStart::Cold(const ColdRule& rule, Time now) const {
+  return launched_ > 0 && now < launched_ + rule.warm_up;
+}
+
+// The stated units scale with the growth that is promised at least, and the hosts share them evenly. Of
+// hundreds of hosts none would get a request so; but parts of usual service add up to no more than what warm
+// boxes can do, so each host may also send that times growth and multiple. What leaves at each moment is then
+// under the multiple of what the box can do at that moment, and so is what leaves within any span by its end.
+bool ColdStart::Room(const ColdRule& rule, double units, double demand, Time now) {
+  const Time since = now - rule.overload_for;
+  while (!sent_.empty() && sent_.front().first <= since) sent_.pop_front();
+  if (!Cold(rule, now)) return true;
+  const auto grown = [&rule, this](Time at) {
+    const double age = std::clamp(double(at - launched_) / double(rule.warm_up), 0.0, 1.0);
+    return rule.cold_share + (1 - rule.cold_share) * age;
+  };
+  const double rate = kPart * rule.tip_multiple * grown(now) * ((1 - kMoved) * usual_ + kMoved * demand);
+  tokens_ = std::min(rule.largest_units, tokens_ + rate * double(now - filled_) / kSecond);
+  filled_ = now;
+  if (tokens_ >= units) return true;
+  double sent = 0;
+  for (const auto& [at, was] : sent_) sent += was;
+  return sent + units <= kCaution * rule.cold_units * grown(since) / rule.cold_share / rule.hosts;
+}
+
+void ColdStart::Sent(const ColdRule& rule, double units, Time now) {
+  sent_.emplace_back(now, units);
+  if (Cold(rule, now)) tokens_ -= units;
+}
+
+}  // namespace walnutspur::limits
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -371,6 +371,36 @@
   EXPECT_EQ(rig.Sends("again"), 0);
 }
 
+// zone+vast: while a zone was silent, hosts paced what they sent to the other one as though it were behind.
+TEST(Pool, SilentNodesSayNothingOfTheOthers) {
+  for (const bool lost : {false, true}) {
+    Settings settings = Basic();
+    settings.instances = 100;
+    Rig rig(settings);
+    rig.Fleet(20);
+    int n = 0;
+    for (int i = 0; i < 20; ++i) {
+      const std::string id = "r" + std::to_string(n++);
+      rig.Play(Rig::Request(id, 0, i % 10));
+      rig.End(id, Outcome::kCompleted, 20 * kMs, 0, "t" + std::to_string(i % 10));
+      rig.Pass(100 * kMs);
+    }
+    for (int cell = 10; cell < 20; ++cell) {
+      const std::string id = "r" + std::to_string(n++);
+      rig.Play(Rig::Request(id, 0, cell));
+      if (!lost) rig.End(id, Outcome::kCompleted, 20 * kMs, 0, "t" + std::to_string(cell));
+    }
+    rig.Pass(1200 * kMs);  // none has been heard of for long: what all tell decides
+    int at_once = 0;
+    for (int i = 0; i < 3; ++i) {
+      const std::string id = "last" + std::to_string(i);
+      rig.Play(Rig::Request(id, 0, 3));
+      at_once += rig.Sends(id);
+    }
+    EXPECT_EQ(at_once, 3);
+  }
+}
+
 // ib0c9d5: new objects of all hosts went to whichever nodes each had not heard of.
 TEST(Late, ANodeNotHeardOfIsTakenToBeAsFarBehindAsTheOthers) {
   for (const bool behind : {false, true}) {
