--- a/tests/net/rude_test.cpp
+++ b/tests/net/rude_test.cpp
@@ -217,6 +217,22 @@
     client c expect served)");
 }
 
+// calm+mass: the busiest initiator left the last of its clients' connections in the backlog, unanswered.
+TEST_CASE("as many connections as clients may hold are read, while each of the others waits for its answer") {
+  auto config = BasicConfig();
+  config["limits"]["sockets"] = 100;
+  for (auto& cls : config["settings"]["classes"]) cls["aim"] = cls["deadline"] = 9'000'000;
+  Stage stage(Wire::kHttp, config);
+  std::vector<Socket> busy;
+  for (int i = 0; i < 32; ++i) {  // the box never answers
+    busy.push_back(Socket::Connect(stage.http_port()));
+    busy.back().Send(
+        "GET " + kPath + " HTTP/1.1\r\nHost: s\r\nX-Request-Id: " + std::to_string(1000000000000000 + i) +
+        "\r\nX-Class: read\r\nX-Plan: basic\r\nX-Deadline: 9\r\n" + "X-IO: units=1,shard=0,hosts=1\r\n\r\n");
+  }
+  CHECK(Told(stage, "GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n", 4'000) == "200");
+}
+
 TEST_CASE("a usual client that waits for 100 Continue gets it") {
   Stage stage(Wire::kHttp);
   Socket socket = Socket::Connect(stage.http_port());
