Spread the calls of an overbooked discovery by the number of hosts

Seen, by logging each ask and answer: after the initial burst none of 1,100 asks in 24 s was answered, and of the 70 hosts that were restarted at 13 s none ever heard of the list. Each failed after 2.001 s, though asks came at no more than 22 a second, where the first 40 had been answered 66 ms apart. With gaps that double from 1 s (9 a second) they still failed: what has been given up is worked off all the same. A model of such a queue (66 ms a call, 2 s of patience) leaves 70 of 100 hosts without a list after 30 s, as seen; spread over ten seconds, none. Ruled out: our own silence timer (3.5 s), the size of the lists (as many fail with a known revision).

At fault: decide.cpp, On(Membership): 0.5 to 1 s after any failure, whatever the number of hosts.

A call that waited in turn, or a watch that ended as soon, is followed by a gap drawn from a wide range, 0.1 s long for each host and doubling; one that was refused at once by up to 1 s, doubling. The longest is 16 s. Both tests fail with the old gaps.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -12,6 +12,7 @@
 #include <set>
 #include <unordered_map>
 
+#include "limits/backoff.h"
 #include "limits/cold_start.h"
 #include "walnutspur/scheduler.h"
 
@@ -55,13 +56,13 @@
 constexpr double kAgainAfter = 4;          // times its own work by which an attempt is overtaken, and
 constexpr double kAimForAgain = 0.12;      // part of its own aim: then it is sent again, if that is safe
 constexpr double kLinger = 3;              // times its age that what ended unanswered stays in the count
-constexpr double kTrialAfter = 0.8;    // part of the tightest aim without a send to a node that looks stuck,
-constexpr double kTrialWaits = 4;      // and so many of its usual waits: then it gets a trial
-constexpr Time kFullRest = 30'000;     // us a node rests after it turned a request away, doubling
-constexpr int kFullDoublings = 5;      // times at most: a full queue takes seconds to drain
-constexpr Time kDownRest = 200'000;    // us a node rests after a connection was refused, doubling
-constexpr int kDownDoublings = 3;      // times at most while no answer comes: back within 1.6 s
-constexpr Time kTrackRetry = 500'000;  // us between asks for a subscription after a failed call
+constexpr double kTrialAfter = 0.8;  // part of the tightest aim without a send to a node that looks stuck,
+constexpr double kTrialWaits = 4;    // and so many of its usual waits: then it gets a trial
+constexpr Time kFullRest = 30'000;   // us a node rests after it turned a request away, doubling
+constexpr int kFullDoublings = 5;    // times at most: a full queue takes seconds to drain
+constexpr Time kDownRest = 200'000;  // us a node rests after a connection was refused, doubling
+constexpr int kDownDoublings = 3;    // times at most while no answer comes: back within 1.6 s
+constexpr Time kTrackSeldom = 16'000'000;   // us at most until the list is asked for after a failed call
 constexpr Time kTrackPatience = 5'000'000;  // us for an answer: longer than a call waits, well under askEvery
 constexpr double kSpread = 0.2;             // random part of a placement's cost: hosts do not herd
 constexpr double kPlacedFades = 5e6;        // us; reads of new objects follow them for some seconds
@@ -215,10 +216,10 @@
   void On(const Membership& m) {
     if (m.mode != Mode::kCached) track_at_ = -1;
     if (m.mode == Mode::kFailed) {
-      if (s_.discovery == Discovery::kSubscribe)
-        track_at_ = now_ + kTrackRetry + Time(Random() * kTrackRetry);
+      if (s_.discovery == Discovery::kSubscribe) track_at_ = now_ + list_calls_.Failed(now_, Random());
       return;
     }
+    if (m.mode != Mode::kCached) list_calls_.Answered();
     if (m.mode == Mode::kFull || m.mode == Mode::kCached) {
       for (auto& [target, node] : nodes_) node.live = false, node.gone = true;
     }
@@ -945,6 +946,7 @@
 
   void Track() {
     actions_.push_back(Subscribe{});
+    list_calls_.Asked(now_);
     track_at_ = now_ + kTrackPatience;  // an ask that is never answered is asked again
   }
 
@@ -953,6 +955,7 @@
   Settings s_;
   std::mt19937_64 rng_;
   Time now_ = 0, born_ = 0, next_interval_ = 0, next_depth_ = 0, track_at_ = -1;
+  limits::ListCalls list_calls_{s_.instances, kTrackSeldom};
   double tightest_aim_ = 0;
   limits::ColdRule cold_rule_;
   double usual_all_ = 0;  // units a second that this host is served at all nodes
--- a/tests/unit/limits_test.cpp
+++ b/tests/unit/limits_test.cpp
@@ -1,8 +1,12 @@
 // What a host may send to a cold box: parts of what it was served, never more in all than a box can do.
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <map>
+#include <random>
 #include <vector>
 
+#include "limits/backoff.h"
 #include "limits/cold_start.h"
 
 namespace walnutspur::limits {
@@ -85,4 +89,59 @@
   CHECK(old.Room(kRule, 6, 0, kStart));
 }
 
+namespace {
+
+// A service that takes calls in turn, each 66 ms of work, and tells a caller after 2 s in the queue that it
+// failed, but works off what it has failed all the same. How many of the hosts, which all call at the same
+// moment, still have no list after `seconds`. A host that is told `early` tries again within half to one
+// second.
+int WithoutList(int hosts, bool steady, int seconds) {
+  constexpr Time kWork = 66'000, kTimeOut = 2'000'000;
+  std::vector<ListCalls> calls(static_cast<std::size_t>(hosts), ListCalls(hosts, 16'000'000));
+  std::multimap<Time, int> due;
+  for (int i = 0; i < hosts; ++i) due.emplace(0, i);
+  Time busy = 0;
+  int left = hosts;
+  std::minstd_rand random(7);
+  const auto draw = [&random] { return double(random() % 1000) / 1000; };
+  while (!due.empty() && due.begin()->first < seconds * kSecond) {
+    const auto [now, host] = *due.begin();
+    due.erase(due.begin());
+    ListCalls& mine = calls[static_cast<std::size_t>(host)];
+    mine.Asked(now);
+    busy = std::max(busy, now) + kWork;
+    if (busy - now <= kTimeOut) {
+      mine.Answered();
+      --left;
+      continue;
+    }
+    const Time told = now + kTimeOut;
+    const Time gap = mine.Failed(told, draw());
+    due.emplace(told + (steady ? kSecond / 2 + Time(draw() * kSecond / 2) : gap), host);
+  }
+  return left;
+}
+
+}  // namespace
+
+// herd+vast: of 70 hosts that were restarted together none ever heard of the list again.
+TEST_CASE("a hundred hosts that call one service at the same moment all get through in the end") {
+  CHECK(WithoutList(100, true, 25) >= 60);
+  CHECK(WithoutList(100, false, 25) <= 5);
+  CHECK(WithoutList(5, false, 3) == 0);
+}
+
+TEST_CASE("a call that was refused at once is made again soon, at first, whatever the number of hosts") {
+  ListCalls calls(300, 16'000'000);
+  calls.Asked(kStart);
+  CHECK(calls.Failed(kStart + 5'000, 0.99) <= kSecond);
+  calls.Asked(kStart);
+  CHECK(calls.Failed(kStart + 2 * kSecond, 0.99) > 10 * kSecond);
+  calls.Asked(kStart);  // a subscription that lasted: discovery went, and comes back
+  CHECK(calls.Failed(kStart + 60 * kSecond, 0) <= kSecond);
+  for (int i = 0; i < 40; ++i) CHECK(calls.Failed(kStart, 0.99) <= 16 * kSecond);
+  calls.Answered();
+  CHECK(calls.Failed(kStart, 0.99) <= kSecond);
+}
+
 }  // namespace walnutspur::limits
