Keep new objects from boxes that fail and from zones that are silent

A box that fails fast has nothing out and no wait, so it drew new objects (err 293 to 462 in 5 s at few boxes); each of 100 hosts had to find each of 30 silent boxes by itself. Ruled out: late requests (25 to 47) and cold boxes (Place passes them over).

At fault: decide.cpp, Place: the cost of a box held refused connections alone, not errors or time-outs, and nothing of its zone.

Changed: src/routing/risk.* keeps what became of attempts by box and by zone, fading over 5 s; Place adds the risk times four aims. The tests fail without it.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -14,6 +14,7 @@
 
 #include "limits/backoff.h"
 #include "limits/cold_start.h"
+#include "routing/risk.h"
 #include "walnutspur/scheduler.h"
 
 namespace walnutspur {
@@ -64,12 +65,13 @@
 constexpr int kDownDoublings = 3;    // times at most while no answer comes: back within 1.6 s
 constexpr Time kTrackSeldom = 16'000'000;   // us at most until the list is asked for after a failed call
 constexpr Time kTrackPatience = 5'000'000;  // us for an answer: longer than a call waits, well under askEvery
-constexpr double kSpread = 0.2;             // random part of a placement's cost: hosts do not herd
-constexpr double kPlacedFades = 5e6;        // us; reads of new objects follow them for some seconds
-constexpr Time kFresh = 4'000'000;          // us; older reports of a volume's use say nothing of now
-constexpr int kLate = 1000;                 // bands: what is likely late comes after all that is not
-constexpr Time kForget = 30'000'000;        // us after which a volume that asks for nothing is forgotten
-constexpr double kSecond = 1e6;             // us
+constexpr double kRisk = 4;           // times the tightest aim that a new object may wait rather than fail
+constexpr double kSpread = 0.2;       // random part of a placement's cost: hosts do not herd
+constexpr double kPlacedFades = 5e6;  // us; reads of new objects follow them for some seconds
+constexpr Time kFresh = 4'000'000;    // us; older reports of a volume's use say nothing of now
+constexpr int kLate = 1000;           // bands: what is likely late comes after all that is not
+constexpr Time kForget = 30'000'000;  // us after which a volume that asks for nothing is forgotten
+constexpr double kSecond = 1e6;       // us
 
 struct Node;
 
@@ -118,6 +120,7 @@
   double wait = 0;              // us of queueing lately
   Time heard = 0;               // when that was learnt
   Time passed = 0;              // the latest send that has come back
+  routing::Record record;       // what became of attempts here
   Fading placed;                // units of new objects put here
   limits::Usual usual;          // service to this host while warm, kept for the node's next start
   limits::ColdStart cold;       // and what that leaves to send after it
@@ -240,6 +243,7 @@
       node.rest_until = 0;
       const auto before = holders_.find(e.cell);
       if (fresh && before != holders_.end()) node.usual = before->second->usual;
+      node.record = {};
       node.usual.Silent(std::min(now_, e.launched));
       const double first = Random() * s_.usual_units;  // hosts must not all start with a send
       node.cold.Start(e.launched, now_, node.usual.Rate(now_, born_), first);
@@ -463,7 +467,7 @@
       double cost = ExpectedWait(*node) + (UnitsOut(*node) + r.units + follow) * node->unit_time;
       cost += cells_[cell].held * s_.usual_units * node->unit_time;
       if (node->rest_until > now_) cost += double(node->rest_until - now_);
-      cost += node->refusals * tightest_aim_;  // down until an answer shows otherwise
+      cost += kRisk * tightest_aim_ * routing::Risk(node->record, zones_[node->zone], now_);
       if (node->cold.Cold(cold_rule_, now_)) cost += tightest_aim_;
       cost *= 1 + kSpread * Random();
       if (best < 0 || cost < best_cost) {
@@ -629,6 +633,11 @@
     } else if (d.outcome == Outcome::kCompleted) {
       node.refusals = node.fulls = 0;
     }
+    const bool answered = d.outcome == Outcome::kCompleted || d.outcome == Outcome::kErrored;
+    if (answered || d.outcome == Outcome::kOverdue || d.outcome == Outcome::kRefusedConn) {
+      node.record.Note(d.outcome != Outcome::kCompleted, now_);
+      zones_[node.zone].Note(!answered, now_);
+    }
     if (d.outcome != Outcome::kCompleted && d.outcome != Outcome::kOverdue) return;  // errors tell nothing
     if (d.outcome == Outcome::kOverdue && Lost({nullptr, r.sent, r.units}, node)) return;
     const double per_unit = double(d.delay) / r.units;
@@ -972,6 +981,7 @@
   std::vector<Action> actions_;
   std::map<TargetId, Node> nodes_;
   std::map<int, Node*> holders_;
+  std::map<int, routing::Record> zones_;
   std::map<std::string, Volume> volumes_;
   std::map<int, Streams> cells_;
   std::unordered_map<RequestId, Ref> requests_;
--- /dev/null
+++ b/src/routing/risk.cpp
@@ -0,0 +1,24 @@
+#include "routing/risk.h"
+
+namespace walnutspur::routing {
+namespace {
+
+constexpr double kFades = 5e6;    // us over which attempts tell
+constexpr double kBoxWeight = 1;  // attempts that the zone's risk is worth: the box's own soon outweigh it
+constexpr double kZoneWeight =
+    4;  // attempts that a zone without news is worth: a single time-out tells little
+
+}  // namespace
+
+void Record::Note(bool bad, limits::Time now) { (bad ? bad_ : good_).Add(1, now, kFades); }
+
+double Record::Risk(double before, double weight, limits::Time now) const {
+  const double bad = bad_.Now(now, kFades), good = good_.Now(now, kFades);
+  return (bad + before * weight) / (bad + good + weight);
+}
+
+double Risk(const Record& box, const Record& zone, limits::Time now) {
+  return box.Risk(zone.Risk(0, kZoneWeight, now), kBoxWeight, now);
+}
+
+}  // namespace walnutspur::routing
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -371,6 +371,48 @@
   EXPECT_EQ(rig.Sends("again"), 0);
 }
 
+// zone+vast: boxes that failed at once looked idle and drew bookings; each box of a lost zone had to be
+// tried.
+TEST(Placement, NewObjectsAvoidBoxesThatFailAndZonesThatAreSilent) {
+  for (const Outcome outcome : {Outcome::kErrored, Outcome::kOverdue}) {
+    Rig rig;
+    std::vector<ListEntry> fleet;
+    for (int i = 0; i < 20; ++i) {
+      fleet.push_back(Rig::Entry("t" + std::to_string(i), i));
+      fleet.back().zone = i / 10;
+    }
+    rig.List(Mode::kFull, fleet);
+    int n = 0;
+    for (int i = 0; i < 40; ++i) {  // reads of all boxes but the last two of each zone
+      const int cell = i % 20;
+      if (cell % 10 >= 8) continue;
+      const std::string id = "r" + std::to_string(n++);
+      const bool bad = cell >= 10;
+      rig.Play(Rig::Request(id, 0, cell));
+      rig.End(id, bad ? outcome : Outcome::kCompleted, bad ? 5 * kMs : 20 * kMs, 0,
+              "t" + std::to_string(cell), true);
+      rig.Pass(20 * kMs);
+    }
+    rig.Clear();
+    int good = 0, tried_bad = 0;
+    for (int i = 0; i < 30; ++i) {
+      const std::string id = "w" + std::to_string(i);
+      rig.Play(Rig::Request(id, 1, -1));
+      const std::vector<Send> sends = rig.Of<Send>();
+      rig.Clear();
+      ASSERT_EQ(sends.size(), 1u);
+      const int cell = std::stoi(sends[0].target.substr(1));
+      good += cell < 10;
+      tried_bad += cell >= 10 && cell < 18;
+      rig.End(id, Outcome::kCompleted, 20 * kMs, 0, sends[0].target);
+      rig.Pass(100 * kMs);
+    }
+    EXPECT_EQ(tried_bad, 0);
+    // Errors are the boxes' own; silence may well be the zone's.
+    EXPECT_GE(good, outcome == Outcome::kOverdue ? 30 : 0);
+  }
+}
+
 // zone+vast: while a zone was silent, hosts paced what they sent to the other one as though it were behind.
 TEST(Pool, SilentNodesSayNothingOfTheOthers) {
   for (const bool lost : {false, true}) {
