Deal out three quarters of a cold box's part by present demand

Seen, from the logged sends: within any 2 s cold boxes were sent 0.43 (median over 31 boxes) of the least that the rule allows at that age, 0.94 at most within the first 2.2 s and 0.58 at most after that. Tokens were short at hosts with demand ("tok1.06 own0 dem1.09") and idle at hosts without, whose own half nobody used. Ruled out: latency (bounds at 2 to 6 units, nothing out) and the pooled bound.

At fault: cold_start.cpp, kMoved at a half. Now three quarters.

--- a/src/limits/cold_start.cpp
+++ b/src/limits/cold_start.cpp
@@ -9,7 +9,7 @@
 constexpr double kSecond = 1e6;      // us
 constexpr double kCaution = 0.9;     // part of the stated allowance that is used
 constexpr double kPart = 1.3;        // part of what usual service allows: a warm box is half used
-constexpr double kMoved = 0.5;       // part of it dealt out by present demand: leads pass from host to host
+constexpr double kMoved = 0.75;      // part of it dealt out by present demand: leads pass from host to host
 constexpr double kUsualFades = 2e7;  // us over which usual service is seen; leads pass faster
 
 }  // namespace
