Read lists where their braces close, and ask again at once for a watch that fell silent

Seen: a list that spans lines was cut at each line feed, and the initiator never became ready. The logs at warn were empty.

At fault: limits::ListCalls::Failed (backoff.h), which took all that ended 1 to 5 s after its ask for a call that had waited in vain, answered or not; the 3.5 s of http/discovery.cpp, where a line is due every 2 s; and Discovery::OnChunk, which ended objects at line feeds.

--- a/src/http/discovery.cpp
+++ b/src/http/discovery.cpp
@@ -2,16 +2,21 @@
 
 #include <event2/buffer.h>
 
-#include <cstdio>
+#include <utility>
 
+#include "core/owner.h"
 #include "log/log.h"
 
 namespace walnutspur::http {
 namespace {
 
-// A live watch brings at least an empty line every 2 s; discovery answers or gives up a call within 2 s.
-constexpr Time kSilence = 3'500'000;        // us
-constexpr std::size_t kMostLine = 4 << 20;  // a line that grows beyond this is none
+// A live watch brings at least an empty line every 2 s. With the longest pause before a broken watch is asked
+// for again (limits/backoff.h, 1 s) and the longest call (2 s) this stays under the 6 s after which what a
+// silent watch misses counts as told.
+constexpr Time kSilence = 2'500'000;  // us
+// Discovery answers or gives up a call within 2 s.
+constexpr Time kCall = 3'500'000;             // us
+constexpr std::size_t kMostObject = 4 << 20;  // bytes: a list that grows beyond this is none
 
 }  // namespace
 
@@ -19,7 +24,8 @@
     : base_(base),
       config_(config),
       on_list_(std::move(on_list)),
-      silence_(loop::MakeTimer(base, [this] { OnEnd(); })),
+      lists_(kMostObject, [this](const std::string& object) { return OnObject(object); }),
+      silence_(loop::MakeTimer(base, [this] { OnSilence(); })),
       sweep_(loop::MakeTimer(base, [this] { old_.reset(); })) {}
 
 void Discovery::Watch() {
@@ -29,7 +35,8 @@
   if (!link_) return;
   evhttp_connection_set_retries(link_.get(), 0);
   open_ = true;
-  silence_.Start(kSilence);
+  heard_ = core::Now();
+  silence_.Start(kCall);
   evhttp_request* request =
       evhttp_request_new([](evhttp_request*, void* arg) { static_cast<Discovery*>(arg)->OnEnd(); }, this);
   evhttp_request_set_chunked_cb(
@@ -50,7 +57,8 @@
 void Discovery::Close() {
   open_ = false;
   silence_.Stop();
-  partial_.clear();
+  lists_.Reset();
+  answered_ = false;
   if (!link_) return;
   old_ = std::move(link_);
   sweep_.Start(0);
@@ -66,33 +74,45 @@
 void Discovery::OnChunk(evhttp_request* answer) {
   if (!open_ || evhttp_request_get_response_code(answer) != 200) return;
   evbuffer* buffer = evhttp_request_get_input_buffer(answer);
-  const std::size_t size = evbuffer_get_length(buffer);
-  const std::size_t before = partial_.size();
-  partial_.resize(before + size);
-  evbuffer_remove(buffer, partial_.data() + before, size);
+  std::string bytes(evbuffer_get_length(buffer), '\0');
+  evbuffer_remove(buffer, bytes.data(), bytes.size());
+  heard_ = core::Now();
   silence_.Start(kSilence);
-  std::size_t start = 0;
-  for (std::size_t end; open_ && (end = partial_.find('\n', start)) != std::string::npos; start = end + 1)
-    OnLine(partial_.substr(start, end - start));
-  if (!open_) return;
-  partial_.erase(0, start);
-  if (partial_.size() > kMostLine) OnEnd();
+  // The call got through even where nothing has changed: the module must not take it for one that waited in
+  // vain. Without any list there is nothing yet that it could be told.
+  if (!std::exchange(answered_, true) && held_) on_list_({walnutspur::Mode::kDelta, {}}, {});
+  const std::string wrong = lists_.Feed(bytes);
+  if (wrong.empty() || !open_) return;
+  log::Event(log::Level::kWarn, "discovery_list_unreadable", {{"what", wrong}});
+  OnEnd();
 }
 
-void Discovery::OnLine(const std::string& line) {
-  if (line.find_first_not_of(" \t\r") == std::string::npos) return;  // all is as it was
+// Whether to read on.
+bool Discovery::OnObject(const std::string& object) {
   try {
-    const TargetList list = ReadList(config_, nlohmann::json::parse(line));
+    const TargetList list = ReadList(config_, nlohmann::json::parse(object));
     if (!list.complete && list.revision < revision_) {  // discovery has forgotten: the whole list again
       revision_ = 0;
-      return OnEnd();
+      OnEnd();
+      return false;
     }
+    held_ = true;
     revision_ = list.revision;
     on_list_({list.complete ? walnutspur::Mode::kFull : walnutspur::Mode::kDelta, list.entries}, list);
   } catch (const std::exception& error) {
-    log::Event(log::Level::kWarn, "discovery_line_unreadable", {{"what", error.what()}});
+    log::Event(log::Level::kWarn, "discovery_list_unreadable", {{"what", error.what()}});
     OnEnd();
   }
+  return open_;
+}
+
+// The watch is broken, though its connection stands: what it misses counts as told soon (limits/backoff.h).
+void Discovery::OnSilence() {
+  if (open_)
+    log::Event(
+        log::Level::kWarn, "discovery_silent",
+        {{"for_ms", std::to_string((core::Now() - heard_) / 1000)}, {"answered", answered_ ? "yes" : "no"}});
+  OnEnd();
 }
 
 }  // namespace walnutspur::http
--- a/src/http/discovery.h
+++ b/src/http/discovery.h
@@ -8,6 +8,7 @@
 
 #include "core/port.h"
 #include "http/config.h"
+#include "http/json_stream.h"
 #include "http/messages.h"
 #include "loop/loop.h"
 
@@ -24,11 +25,12 @@
   // The config names another address: watched at once, from the whole list. Revisions of another service say
   // nothing of what this one has told.
   void Move();
-  void Adopt(const TargetList& list) { revision_ = list.revision; }
+  void Adopt(const TargetList& list) { revision_ = list.revision, held_ = true; }
 
  private:
   void OnChunk(evhttp_request* answer);
-  void OnLine(const std::string& line);
+  bool OnObject(const std::string& object);
+  void OnSilence();
   void OnEnd();
   void Close();
 
@@ -37,7 +39,10 @@
   OnList on_list_;
   long revision_ = 0;
   bool open_ = false;
-  std::string partial_;
+  bool held_ = false;      // a list is known
+  bool answered_ = false;  // something has come on this watch
+  Time heard_ = 0;         // when it last did, or else when it was asked for
+  JsonStream lists_;
   loop::Watcher silence_, sweep_;
   std::unique_ptr<evhttp_connection, loop::Freed<evhttp_connection_free>> link_, old_;
 };
--- a/src/limits/backoff.h
+++ b/src/limits/backoff.h
@@ -33,7 +33,9 @@
 
 // When one of many hosts asks their one list service again. A call that was refused at once cost the service
 // nothing. One that waited in its turn until it was given up tells that all hosts together ask too fast, and
-// what was given up is worked off all the same: they must spread over as long as it takes.
+// what was given up is worked off all the same: they must spread over as long as it takes. A call that was
+// answered did not wait in vain, however soon its subscription broke: what is missed then counts as told 6 s
+// after it fell silent, of which noticing takes up to 2.5 s and the next call up to 2 s (http/discovery.cpp).
 class ListCalls {
  public:
   // `most` is the longest gap, us; no less than a second.
@@ -43,11 +45,11 @@
   void Asked(Time now) { asked_ = now; }
   // The gap until the next ask, us, after a call that failed or a subscription that ended.
   Time Failed(Time now, double random) {
-    const Time took = now - asked_;
-    const bool waited = asked_ >= 0 && took >= kWaited && took < kLasted;
+    const bool waited = asked_ >= 0 && now - asked_ >= kWaited;
     return (waited ? overdue_ : refused_).Failed(random);
   }
   void Answered() {
+    asked_ = -1;
     refused_.Succeeded();
     overdue_.Succeeded();
   }
@@ -56,8 +58,7 @@
   static constexpr Time kFirst = 1'000'000;   // us
   static constexpr Time kEach = 100'000;      // us for each host: ten calls a second from all
   static constexpr Time kWaited = 1'000'000;  // us: by then a call was not refused, it waited
-  static constexpr Time kLasted = 5'000'000;  // us: no call waits so long; it was a subscription
-  Time asked_ = -1;
+  Time asked_ = -1;                           // the call that has had no answer yet
   Backoff refused_, overdue_;
 };
 
--- a/tests/net/stage.h
+++ b/tests/net/stage.h
@@ -64,6 +64,8 @@
   ~Stage();
 
   void Play(const std::string& scenario);
+  // On the open watch, in chunks of so many bytes.
+  void DiscoveryWrites(const std::string& text, std::size_t piece);
   // Worth served in time over worth asked, of what clients have been answered.
   double score() const { return asked_ > 0 ? served_ / asked_ : 0; }
   app::Initiator& initiator() { return *initiator_; }
