End each connection with a served answer after SIGTERM, and shut idle ones in order

Seen, in the trial that the issue tells of (50 clients that send on as soon as they are answered): in the last 0.15 s over 300 requests were timed out at once, up to 23 connections closed under a request and up to 4 reset.

Cause: Initiator::Leave told connections 0.2 s before the end, whatever answers took, and all that was still out 0.1 s later was timed out; the listener stayed open, so whoever was timed out came again and was timed out again; http::Front::Drain closed idle connections outright, and closing a socket with bytes unread in the kernel is a reset.

Then what the kernel has accepted is taken and the listener closes. Idle connections go on for another 0.1 s at least, are shut for writing, and are read until their client closes. NBD refuses commands unrun from then on (ESHUTDOWN).

--- a/src/app/initiator.cpp
+++ b/src/app/initiator.cpp
@@ -19,10 +19,7 @@
 namespace walnutspur::app {
 namespace {
 
-constexpr Time kStay = 450'000;  // us after SIGTERM in which new clients still come
-// us before the end: until then clients go on with the connections they have, and what they would ask then
-// reaches no other initiator; long enough for kLook and for answers to be read.
-constexpr Time kClose = 200'000;
+constexpr Time kStay = 450'000;                   // us after SIGTERM in which new clients still come
 constexpr Time kAnswer = 100'000;                 // us before the end by which all is answered
 constexpr std::size_t kMostNbd = 64;              // clients, and connections to boxes
 constexpr int kNbdPart = 16;                      // of the descriptors each has one in so many
@@ -338,7 +335,7 @@
 
 // SIGTERM: all goes on for as long as clients may still come, and then for as long as they keep connections:
 // what they would ask on those reaches no other initiator. Shortly before the program would be killed
-// connections end with their next answer, and what is unanswered then is timed out.
+// connections end with their next answer, soon enough for it to be a served one (limits/last_answers.h).
 void Initiator::Drain() {
   if (stopped_ != 0) return;
   stopped_ = core::Now();
@@ -366,7 +363,7 @@
 void Initiator::Leave() {
   std::size_t left = 0;
   for (core::Front* front : fronts()) {
-    if (core::Now() >= stopped_ - kClose) front->Drain();
+    front->Close(stopped_ - kAnswer - core::Now());
     left += front->held() + front->connections();
   }
   if (left == 0) {
--- a/src/checked/scrub.h
+++ b/src/checked/scrub.h
@@ -44,7 +44,7 @@
   void Finish(const core::Answer& answer) override;
   std::size_t held() const override { return 0; }  // nobody waits for it
   void EndBy(Time) override { stopped_ = true; }
-  void Drain() override { stopped_ = true; }
+  void Close(Time) override { stopped_ = true; }
   std::size_t connections() const override { return 0; }
 
   // Of a live request's answer: what live work feels.
--- a/src/core/port.h
+++ b/src/core/port.h
@@ -21,7 +21,10 @@
   virtual void Finish(const Answer& answer) = 0;
   virtual std::size_t held() const = 0;  // requests taken and not answered
   virtual void EndBy(Time end) = 0;      // what is unanswered then is timed out
-  virtual void Drain() = 0;              // from now on connections end with their next answer
+  // The program ends soon: asked over and over, with the time, us, until all has to be answered. From when
+  // another request would get no answer in that time on, connections end with their next answer and no new
+  // ones are taken.
+  virtual void Close(Time left) = 0;
   virtual std::size_t connections() const = 0;
 };
 
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -25,6 +25,7 @@
 constexpr Time kUnread = 10'000'000;    // us in which a client must have read its answer
 constexpr Time kLinger = 500'000;       // us after the last answer in which the client may close first
 constexpr Time kPause = 50'000;         // us in which a client that was turned away is not read
+constexpr Time kCloseIdle = 100'000;    // us before all has to be answered, in which idle connections close
 constexpr Time kAcceptAgain = 20'000;   // us without accepting when there is no room
 constexpr Time kDeadlineGuard = 5'000;  // us past the deadline: attempts' own timers come first
 constexpr Time kSettle = 30'000;        // us that a new connection has to say something, or something more
@@ -102,6 +103,7 @@
 Front::~Front() = default;
 
 void Front::Pause() {
+  if (!listener_) return;
   evconnlistener_disable(listener_.get());
   resume_.Start(kAcceptAgain);
 }
@@ -306,6 +308,7 @@
   held.client = client.number;
   const core::Serial serial = arrived.serial;
   held.deadline = loop::MakeTimer(base_, [this, serial] { post_(core::Expired{serial}); });
+  held.came = core::Now();
   held.until = arrived.deadline + kDeadlineGuard;
   held.deadline.Start((end_ > 0 ? std::min(held.until, end_) : held.until) - core::Now());
   post_(std::move(arrived));
@@ -343,6 +346,7 @@
   if (at == held_.end()) return;  // the client has left
   Client& client = *clients_.at(at->second.client);
   client.serial = 0;
+  last_answers_.Answered(core::Now() - at->second.came);
   held_.erase(at);
   switch (answer.verdict) {
     case core::Verdict::kServed: {
@@ -396,13 +400,30 @@
   for (auto& [number, client] : clients_) client->idle.Stop();
 }
 
-void Front::Drain() {
-  draining_ = true;
-  std::vector<Client*> idle;
+// Guards against connections that end without a word on a request: a busy one ends with an answer, an idle
+// one is shut for writing first and read until its client has closed it, so that no reset reaches a client
+// that just sent something. Idle ones go on for as long as they can: they would find nobody else.
+void Front::Close(Time left) {
+  if (!draining_ && last_answers_.Due(left)) {
+    draining_ = true;
+    StopAccepting();
+  }
+  if (left > kCloseIdle) return;
   for (const auto& [number, client] : clients_) {
-    if (!client->closing && Idle(*client) && !Unread(*client)) idle.push_back(client.get());
+    if (client->closing || !Idle(*client) || Unread(*client)) continue;
+    client->closing = true;
+    client->unfinished.Stop();
+    shutdown(bufferevent_getfd(client->stream.get()), SHUT_WR);
   }
-  for (Client* client : idle) End(*client);
+}
+
+// What the kernel has accepted by now is taken: its requests count as ours.
+void Front::StopAccepting() {
+  const evutil_socket_t fd = evconnlistener_get_fd(listener_.get());
+  for (int client; (client = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;)
+    OnAccept(client);
+  resume_.Stop();
+  listener_.reset();
 }
 
 }  // namespace walnutspur::http
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -14,6 +14,7 @@
 #include "http/config.h"
 #include "http/messages.h"
 #include "http/reader.h"
+#include "limits/last_answers.h"
 #include "loop/loop.h"
 
 namespace walnutspur::http {
@@ -27,7 +28,7 @@
   void Finish(const core::Answer& answer) override;
   std::size_t held() const override { return held_.size(); }
   void EndBy(Time end) override;
-  void Drain() override;
+  void Close(Time left) override;
   std::size_t connections() const override { return clients_.size(); }
 
   void set_ready() { ready_ = true; }
@@ -47,7 +48,7 @@
     std::uint64_t asked = 0;  // whole requests that it has sent
     bool told = false;        // it has been told to go on with its body
     bool last = false;        // the answer to this request is the last on the connection
-    bool closing = false;     // the last answer is written: what still comes is dropped
+    bool closing = false;     // it has been told of the end: what still comes is dropped
     std::size_t dropped = 0;
     loop::Watcher unfinished;  // a request that does not become whole
     loop::Watcher idle;        // no request
@@ -58,11 +59,12 @@
   };
   struct Held {
     std::uint64_t client = 0;
-    Time until = 0;
+    Time came = 0, until = 0;
     loop::Watcher deadline;
   };
 
   void OnAccept(evutil_socket_t fd);
+  void StopAccepting();
   bool MakeRoom();
   void Pause();
   void OnRead(Client& client);
@@ -83,6 +85,7 @@
   core::Post post_;
   bool ready_ = false, draining_ = false;
   Time end_ = 0;  // 0: none is in sight
+  limits::LastAnswers last_answers_;
   int port_ = 0;
   std::size_t most_;
   std::uint64_t next_ = 1;
--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -77,6 +77,7 @@
 
 // Out of descriptors: the listener stays readable, so it rests instead of spinning.
 void Front::Pause() {
+  if (!listener_) return;
   evconnlistener_disable(listener_.get());
   resume_.Start(kAcceptAgain);
 }
@@ -145,6 +146,10 @@
 // Reads on only while there is room for more of the client's commands and answers: both are bounded.
 void Front::OnRead(Client& client) {
   evbuffer* input = bufferevent_get_input(client.stream.get());
+  if (client.closing) {
+    evbuffer_drain(input, evbuffer_get_length(input));
+    return;
+  }
   while (!client.session.ended() && evbuffer_get_length(input) > 0) {
     if (client.in_flight.size() >= kMostInFlight ||
         evbuffer_get_length(bufferevent_get_output(client.stream.get())) > kMostUnread) {
@@ -180,6 +185,7 @@
     client.session.Reply(cookie, error, why, &out);
     Write(client, out);
   };
+  if (draining_) return refuse(kShutdown, "the initiator ends");
   const auto cls = config_.classes.find(request.type);
   if (cls == config_.classes.end()) return refuse(kInvalid, "unknown command");
   if (request.flags != 0) return refuse(kInvalid, "unknown flags");
@@ -218,6 +224,7 @@
   held.client = client.number;
   held.cookie = cookie;
   held.deadline = loop::MakeTimer(base_, [this, serial] { post_(core::Expired{serial}); });
+  held.came = core::Now();
   held.until = arrived.deadline + kDeadlineGuard;
   held.deadline.Start((end_ > 0 ? std::min(held.until, end_) : held.until) - core::Now());
   post_(std::move(arrived));
@@ -228,6 +235,7 @@
   if (at == held_.end()) return;  // the client has left
   Client& client = *clients_.at(at->second.client);
   const std::uint64_t cookie = at->second.cookie;
+  last_answers_.Answered(core::Now() - at->second.came);
   held_.erase(at);
   client.in_flight.erase(cookie);
   std::string out;
@@ -255,15 +263,18 @@
   OnRead(client);  // what had to wait for room
 }
 
-// A client that said goodbye, or sent what is no NBD, gets no further answers; nor is a draining one kept.
+// A client that said goodbye, or sent what is no NBD, gets no further answers; nor is one kept at the end.
 void Front::EndIfIdle(Client& client) {
   if (client.session.ended()) {
     if (evbuffer_get_length(bufferevent_get_output(client.stream.get())) == 0) return End(client);
     return client.handshake.Start(config_.handshake);  // it may never read what is left for it
   }
-  if (draining_ && client.in_flight.empty() &&
-      evbuffer_get_length(bufferevent_get_output(client.stream.get())) == 0)
-    End(client);
+  if (!draining_ || client.closing || !client.in_flight.empty() || client.session.unfinished() ||
+      evbuffer_get_length(bufferevent_get_output(client.stream.get())) > 0)
+    return;
+  client.closing = true;
+  client.handshake.Stop();
+  shutdown(bufferevent_getfd(client.stream.get()), SHUT_WR);
 }
 
 void Front::End(Client& client) {
@@ -283,8 +294,15 @@
   }
 }
 
-void Front::Drain() {
-  draining_ = true;
+// NBD has no last answer: commands that come from here on are refused unrun, and once none is in flight the
+// connection is shut for writing and read until the client has closed it.
+void Front::Close(Time left) {
+  if (!draining_ && last_answers_.Due(left)) {
+    draining_ = true;
+    resume_.Stop();
+    listener_.reset();
+  }
+  if (!draining_) return;
   std::vector<Client*> all;
   for (const auto& [number, client] : clients_) all.push_back(client.get());
   for (Client* client : all) EndIfIdle(*client);
--- a/src/nbd/front.h
+++ b/src/nbd/front.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 
 #include "core/port.h"
+#include "limits/last_answers.h"
 #include "loop/loop.h"
 #include "nbd/codec.h"
 #include "nbd/config.h"
@@ -31,7 +32,7 @@
   void Finish(const core::Answer& answer) override;
   std::size_t held() const override { return held_.size(); }
   void EndBy(Time end) override;
-  void Drain() override;
+  void Close(Time left) override;
   std::size_t connections() const override { return clients_.size(); }
   int port() const { return port_; }
 
@@ -49,13 +50,14 @@
     Time since = 0;                                   // when it connected
     loop::Watcher handshake;
     bool waiting = false;      // for the rest of a command
+    bool closing = false;      // shut for writing: what still comes is dropped
     loop::Watcher unfinished;  // a command that does not become whole
     StreamRef stream;
   };
   struct Held {
     std::uint64_t client = 0;
     std::uint64_t cookie = 0;
-    Time until = 0;
+    Time came = 0, until = 0;
     loop::Watcher deadline;
   };
 
@@ -76,6 +78,7 @@
   core::Post post_;
   bool draining_ = false;
   Time end_ = 0;  // 0: none is in sight
+  limits::LastAnswers last_answers_;
   int port_ = 0;
   std::uint64_t next_client_ = 1;
   std::unordered_map<std::uint64_t, std::unique_ptr<Client>> clients_;
--- a/tests/net/stage.cpp
+++ b/tests/net/stage.cpp
@@ -356,7 +356,8 @@
     last_.body.clear();
     for (const nbd::Piece& piece : reply.pieces)
       last_.body += piece.hole > 0 ? std::string(piece.hole, '0') : piece.data;
-    return reply.error == nbd::kOk ? "served" : reply.error == nbd::kNoMemory ? "refused" : "failed";
+    if (reply.error == nbd::kNoMemory || reply.error == nbd::kShutdown) return "refused";
+    return reply.error == nbd::kOk ? "served" : "failed";
   }
   if (!ReadMessage(c.socket, &last_, ms)) return c.socket.fd() < 0 ? "closed" : "nothing";
   const std::string code = last_.start.substr(9, 3);
--- a/tests/net/stage.h
+++ b/tests/net/stage.h
@@ -74,6 +74,7 @@
   std::size_t box_links(const std::string& name) const { return boxes_.at(name).links.size(); }
   const nbd::Request& box_request(const std::string& name) const { return boxes_.at(name).request; }
   int http_port() const { return http_port_; }
+  const Socket& box_listener(const std::string& name) const { return boxes_.at(name).listener; }
   int nbd_port() const { return nbd_port_; }
   const Message& last() const { return last_; }
   const std::string& watch_asked() const { return watch_asked_; }
