Let initiators keep a view of each other: SWIM with Lifeguard's additions and digests

Need: initiators guess how many of them there are and which part of the demand is theirs, and nothing that is shared out can be agreed on before they know who is there (docs/design/view.md: options, choice, why).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 CONFIG ?= $(BALANCER_CONFIG)
 
-.PHONY: build bench-integrity bench-lab fuzz-integrity test lint sanitize sanitize-build tsan tsan-build run clean
+.PHONY: build bench-fleet bench-integrity bench-lab fuzz-integrity test lint sanitize sanitize-build tsan tsan-build run clean
 
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
@@ -44,6 +44,12 @@
 	cmake --build $(BUILD) -j4 --target walnutspur_lab_program walnutspur_bench_lab
 	$(BUILD)/walnutspur_bench_lab $(PARTS)
 
+# Fleets under faults: SEED=N, SHORT=1, PARTS="loss size view" are all of it.
+bench-fleet:
+	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
+	cmake --build $(BUILD) -j4 --target walnutspur_main walnutspur_bench_fleet
+	$(BUILD)/walnutspur_bench_fleet $(BUILD)/walnutspur $(PARTS)
+
 # SECONDS_EACH=N fuzzes for longer. New inputs stay in the build folder; the corpus is the tree's.
 SECONDS_EACH ?= 15
 fuzz-integrity:
--- a/include/walnutspur/scheduler.h
+++ b/include/walnutspur/scheduler.h
@@ -78,6 +78,7 @@
 
 struct Settings {
   int instances = 1;
+  double part = 0;  // of all initiators' requests that come to this one; 0: not known, an even part
   Discovery discovery = Discovery::kAutomatic;
   Time granularity = 0;  // the shortest time between two batches of events
   std::vector<RequestClass> classes;
@@ -162,7 +163,15 @@
   RequestId id;
 };
 
-using Event = std::variant<Started, Membership, Arrival, Done, Bell, ProbeDone, Abandoned, Streaming>;
+// How many initiators there are and what part of all requests comes to this one, where somebody knows: in
+// place of Settings::instances and an even part. The fleet's view tells it (src/fleet/view/).
+struct FleetSize {
+  int live = 1;
+  double part = 1;
+};
+
+using Event =
+    std::variant<Started, Membership, Arrival, Done, Bell, ProbeDone, Abandoned, Streaming, FleetSize>;
 
 // ---- actions ----
 
--- a/src/app/initiator.cpp
+++ b/src/app/initiator.cpp
@@ -12,6 +12,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "app/fleet_settings.h"
 #include "integrity/cursor.h"
 #include "keep/whole_file.h"
 #include "log/log.h"
@@ -25,6 +26,8 @@
 constexpr int kNbdPart = 16;                      // of the descriptors each has one in so many
 constexpr std::size_t kMostRecorded = 64 << 20;   // bytes: files count as memory
 constexpr Time kLook = 50'000;                    // us between looks whether all is answered
+constexpr Time kTell = 1'000'000;                 // us between looks at what the fleet is told
+constexpr double kLoadGain = 0.2;                 // weight of the newest second's requests
 constexpr Time kLongestMost = 3'000'000;          // us; the platform counts a longer deadline as this one
 constexpr Time kScrubPatience = 5'000'000;        // us that a scrub's read may wait for its turn
 constexpr int kKeptMemory = 4 << 20;              // bytes that free leaves with the program
@@ -88,6 +91,7 @@
     discovery_->Adopt(known);
     OnList({walnutspur::Mode::kCached, known.entries}, known);
   }
+  if (options.fleet) StartFleet(*options.fleet);
   if (!options.replay.empty()) StartReplay(options.replay);
   if (options.folder.empty()) return;
   try {  // the program serves without it as well
@@ -101,8 +105,11 @@
 std::string Initiator::Tell(const Control::Words& words) {
   const std::string word = words.empty() ? "" : words[0];
   if (word == "status" && words.size() == 1) return Status();
+  if (word == "fleet")
+    return fleet_ ? fleet_->Answer({words.begin() + 1, words.end()})
+                  : "error: there is no fleet: the settings have no [fleet] table\n";
   if (word != "pause" && word != "resume" && word != "recheck")
-    return "error: unknown command; allowed are status, pause, resume and recheck EXPORT BLOCK\n";
+    return "error: unknown command; allowed are status, fleet view, pause, resume and recheck EXPORT BLOCK\n";
   if (!scrub_) return "error: there is no scrub: [scrub] on is false, or no export has checksums\n";
   if (word != "recheck") {
     scrub_->Pause(word == "pause");
@@ -256,10 +263,37 @@
     pthread_sigmask(SIG_UNBLOCK, &hangup, nullptr);
   }
   event_base_loop(base_.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+  if (!failed_.empty()) throw std::runtime_error(failed_);
+  if (fleet_) fleet_->Leave();
 }
 
 void Initiator::Stop() { stop_.Activate(); }
 
+void Initiator::StartFleet(const fleet::FleetOptions& options) {
+  fleet::FleetHooks hooks;
+  hooks.log = [](bool warning, const std::string& kind, const std::vector<log::Field>& fields) {
+    log::Event(warning ? log::Level::kWarn : log::Level::kInfo, kind, fields);
+  };
+  hooks.on_size = [this](int live, double part) { owner_->Post(core::Fleet{{live, part}}); };
+  hooks.on_end = [this](const std::string& why) {
+    failed_ = "fleet: " + why;
+    Halt();
+  };
+  fleet_ = OpenFleet(base_.get(), options, std::move(hooks));
+  tell_ = loop::MakeTimer(base_.get(), [this] { TellFleet(); });
+  tell_.Start(kTell);
+}
+
+void Initiator::TellFleet() {
+  tell_.Start(kTell);
+  load_ += kLoadGain * (std::exchange(answers_, 0) * 1e6 / kTell - load_);
+  fleet::Facts facts;
+  facts.phase = stopped_ > 0 ? fleet::Phase::kDraining : fleet::Phase::kServing;
+  facts.load = load_;
+  facts.connections = targets_->by_target();
+  fleet_->Tell(facts);
+}
+
 void Initiator::Halt() { event_base_loopbreak(base_.get()); }
 
 void Initiator::OnList(walnutspur::Membership list, const http::TargetList& raw) {
@@ -320,6 +354,7 @@
 
 void Initiator::Do(const core::Answer& output) {
   if (scrub_ && output.wire != core::Wire::kOwn) scrub_->Saw(output);
+  ++answers_;
   front(output.wire).Finish(output);
 }
 
@@ -343,6 +378,7 @@
   const Time last = std::min(kLongestMost, config_.longest_deadline) + kKilled;
   last_.Start(last);
   stopped_ += last;
+  if (fleet_) TellFleet();
   for (core::Front* front : fronts()) front->EndBy(stopped_ - kAnswer);
 }
 
--- a/src/app/initiator.h
+++ b/src/app/initiator.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,6 +16,7 @@
 #include "checked/scrub.h"
 #include "core/owner.h"
 #include "core/port.h"
+#include "fleet/fleet.h"
 #include "http/config.h"
 #include "http/discovery.h"
 #include "http/front.h"
@@ -33,6 +35,7 @@
   std::string
       folder;  // of the damage ledger, the scrub's cursors and the control socket; empty: none of them
   checked::ScrubOptions scrub;
+  std::optional<fleet::FleetOptions> fleet;  // nothing: this initiator knows of no other
   std::string replay;  // the pcap file whose streams are played to the fronts; then the initiator ends
 };
 
@@ -44,7 +47,8 @@
   Initiator(const Initiator&) = delete;
   Initiator& operator=(const Initiator&) = delete;
 
-  // Serves until it is told to stop and has answered what it took.
+  // Serves until it is told to stop and has answered what it took. Throws std::runtime_error if an older
+  // process of the fleet has its name.
   void Run();
   void Stop();  // like SIGTERM; from any thread
   // Reads the configuration anew on SIGHUP, by a function that throws on what is wrong; before Run. Without
@@ -81,6 +85,8 @@
   void AddScrub(checked::ScrubOptions scrub, const core::Post& post);
   std::string Tell(const Control::Words& words);  // what an operator asks by the control socket
   std::string Status();
+  void StartFleet(const fleet::FleetOptions& options);
+  void TellFleet();
   void StartReplay(const std::string& path);
   core::Front& front(core::Wire wire);
   std::vector<core::Front*> fronts();
@@ -100,10 +106,13 @@
   std::unique_ptr<checked::Scrub> scrub_;
   std::unique_ptr<Control> control_;
   std::unique_ptr<pcap::Player> player_;
+  std::unique_ptr<fleet::Fleet> fleet_;  // null: there is none
+  double answers_ = 0, load_ = 0;        // since the fleet was told last; requests a second lately
+  std::string failed_;                   // why the process must end
   std::uint64_t next_ring_ = 0;
   std::map<std::uint64_t, loop::Watcher> rings_;
   Time stopped_ = 0;  // when it ends at the latest, once it has been told to
-  loop::Watcher outputs_, stop_, term_, interrupt_, hangup_, leave_, last_;
+  loop::Watcher outputs_, stop_, term_, interrupt_, hangup_, leave_, last_, tell_;
   std::unique_ptr<core::Owner> owner_;
 };
 
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -3,11 +3,13 @@
 #ifndef WALNUTSPUR_APP_SETTINGS_H_
 #define WALNUTSPUR_APP_SETTINGS_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "checked/scrub.h"
 #include "config/schema.h"
+#include "fleet/fleet.h"
 #include "http/config.h"
 #include "log/log.h"
 
@@ -18,7 +20,8 @@
   http::Digests digests;
   std::string folder;  // of the damage ledger
   checked::ScrubOptions scrub;
-  std::string nbd;  // the file of the NBD front; empty: there is none
+  std::optional<fleet::FleetOptions> fleet;  // nothing: there is none
+  std::string nbd;                           // the file of the NBD front; empty: there is none
 };
 
 const std::vector<config::Key>& SettingsKeys();
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -66,7 +66,10 @@
 struct Probed {
   ProbeDone result;
 };
-using Input = std::variant<Arrived, Departed, Expired, Ended, Listed, Rang, Probed>;
+struct Fleet {  // what the view of the fleet tells
+  FleetSize size;
+};
+using Input = std::variant<Arrived, Departed, Expired, Ended, Listed, Rang, Probed, Fleet>;
 
 // ---- outputs ----
 
@@ -151,6 +154,7 @@
   void On(const Listed& input);
   void On(const Rang& input);
   void On(const Probed& input);
+  void On(const Fleet& input) { Play(input.size); }
 
   void Do(const Send& action);
   void Do(const Refuse& action);
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -338,6 +338,12 @@
 
   void On(const ProbeDone&) {}
 
+  void On(const FleetSize& f) {
+    s_.instances = std::max(1, f.live);
+    s_.part = f.part;
+    list_calls_.Among(s_.instances);
+  }
+
   // A node that drops nothing still does what was called back or timed out. Such an attempt stays in the
   // count for as long again as it has waited, times kLinger, unless a later one is answered before. Guards
   // against clients that leave early, time-outs, and hung nodes alike: without it the bound looks free and
--- a/src/http/targets.cpp
+++ b/src/http/targets.cpp
@@ -316,4 +316,10 @@
   CloseIdle(target);
 }
 
+std::map<TargetId, std::uint32_t> Targets::by_target() const {
+  std::map<TargetId, std::uint32_t> count;
+  for (const auto& [number, connection] : connections_) ++count[connection->target];
+  return count;
+}
+
 }  // namespace walnutspur::http
--- a/src/http/targets.h
+++ b/src/http/targets.h
@@ -42,6 +42,7 @@
   std::function<void(const TargetId& target, const std::string& uri, bool good, const std::string& body)>
       on_checked;
   std::size_t connections() const { return connections_.size(); }
+  std::map<TargetId, std::uint32_t> by_target() const;
   std::size_t known() const { return addresses_.size() + idle_.size(); }
 
  private:
--- a/src/lab/sim/policies.cpp
+++ b/src/lab/sim/policies.cpp
@@ -100,6 +100,7 @@
   }
   void On(const Abandoned& gone) { held_.erase(gone.id); }
   void On(const ProbeDone&) {}
+  void On(const FleetSize&) {}
   void On(const Streaming&) {}
 
   double Rate(int plan) const {
--- a/src/limits/backoff.h
+++ b/src/limits/backoff.h
@@ -25,6 +25,7 @@
     return longest / 4 + static_cast<Time>(random * 0.75 * static_cast<double>(longest));
   }
   void Succeeded() { failures_ = 0; }
+  void First(Time first) { first_ = std::min(first, most_); }
 
  private:
   Time first_, most_;
@@ -42,6 +43,8 @@
   ListCalls(int hosts, Time most)
       : refused_(kFirst, most), overdue_(std::clamp(hosts * kEach, kFirst, most), most) {}
 
+  // There are so many hosts now.
+  void Among(int hosts) { overdue_.First(std::max(hosts * kEach, kFirst)); }
   void Asked(Time now) { asked_ = now; }
   // The gap until the next ask, us, after a call that failed or a subscription that ended.
   Time Failed(Time now, double random) {
--- a/src/limits/cold_start.cpp
+++ b/src/limits/cold_start.cpp
@@ -61,8 +61,8 @@
   if (tokens_ >= units) return true;
   double sent = 0;
   for (const auto& [at, was] : sent_) sent += was;
-  return sent + units <=
-         kCaution * settings.cold_units * grown(since) / rules.cold_share / settings.instances;
+  return sent + units <= kCaution * settings.cold_units * grown(since) / rules.cold_share *
+                             (settings.part > 0 ? settings.part : 1.0 / settings.instances);
 }
 
 void ColdStart::Sent(const Settings& settings, double units, Time now) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -36,6 +36,7 @@
     config.digests = settings.digests;
     options.folder = settings.folder;
     options.scrub = settings.scrub;
+    options.fleet = settings.fleet;
     if (options.nbd.empty()) options.nbd = settings.nbd;
   }
   walnutspur::app::Initiator initiator(std::move(config), options);
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -570,4 +570,20 @@
 }
 
 }  // namespace
+// The settings' number of initiators is a guess where a view of the fleet counts them.
+TEST(Fleet, ItsSizeReplacesTheSettings) {
+  Settings s = Basic();
+  s.instances = 300;
+  s.discovery = Discovery::kSubscribe;
+  for (const bool told : {false, true}) {
+    Rig rig(s);
+    if (told) rig.Play(FleetSize{2, 0.5});
+    rig.Pass(2 * kSec);  // the call has waited in vain
+    rig.List(Mode::kFailed, {});
+    rig.Clear();
+    rig.Pass(1'100 * kMs);
+    EXPECT_EQ(rig.Of<Subscribe>().size(), told ? 1u : 0u);
+  }
+}
+
 }  // namespace walnutspur::test
--- a/tests/unit/limits_test.cpp
+++ b/tests/unit/limits_test.cpp
@@ -130,4 +130,18 @@
   }
 }
 
+TEST_CASE(
+    "where the fleet is known, its size sets the pace of asks and this host's part what a cold box may get") {
+  ListCalls calls(300, 16 * kSecond);
+  calls.Among(5);
+  calls.Asked(kStart);
+  CHECK(calls.Failed(kStart + 2 * kSecond, 0.99) <= kSecond);
+  Settings known = kSettings;
+  known.part = 0.5;
+  ColdStart even, half;
+  even.Start(kStart, kStart, 0, 0), half.Start(kStart, kStart, 0, 0);
+  CHECK_FALSE(even.Room(kSettings, 2, 0, kStart + 2 * kSecond));  // a hundredth
+  CHECK(half.Room(known, 2, 0, kStart + 2 * kSecond));
+}
+
 }  // namespace walnutspur::limits
