Count patience by age, and end answers without a length with their connection

Ruled out: boxes that turn away (no answer of that kind), time-outs (11), late connections alone (41 attempts).

Cause 1, decide.cpp, NoteStay and Patience: clients that leave were held against those that stayed up to the mean age of leaving. A request that was refused before that age, for the sake of that very estimate, never counted as one that stayed, so a few bursts of leavers kept refusing nearly everybody. Now limits/patience.*: by age, the product-limit estimate, in which what ended sooner counts for younger ages only. It is worked out once a tick. Cause 2, reader.cpp, OnHead: an answer without a length was spoilt. So an end in order makes it whole, a reset or an end inside the head does not.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -14,6 +14,7 @@
 
 #include "limits/backoff.h"
 #include "limits/cold_start.h"
+#include "limits/patience.h"
 #include "routing/risk.h"
 #include "walnutspur/scheduler.h"
 
@@ -45,12 +46,8 @@
 constexpr double kBaseFall = 0.2;    // weight of a sample under the uncongested baseline
 constexpr double kBaseRise = 0.01;   // weight of one above it: the baseline is a low quantile
 constexpr double kWaitGain = 0.3;    // weight of the newest queueing delay
-constexpr double kWaitFades = 500'000;  // us in which an old wait fades to a third: queues drain
-constexpr double kFleetFades = 2e6;     // us over which answers of all nodes tell of one not heard of
-constexpr double kPatienceFades = 5e6;  // us over which leaving clients are counted
-constexpr double kPatienceGain = 0.2;   // weight of the newest age at which a client left
-constexpr double kLeavers = 0.3;        // part of the clients that must leave for their age to count
-constexpr double kStayers = 3;          // clients taken to have stayed: one that leaves alone tells nothing
+constexpr double kWaitFades = 500'000;     // us in which an old wait fades to a third: queues drain
+constexpr double kFleetFades = 2e6;        // us over which answers of all nodes tell of one not heard of
 constexpr double kFirstUnitTime = 20'000;  // us a unit, until the first answers tell
 constexpr double kLostAfter = 4;           // times its own work by which an attempt must be overtaken, and
 constexpr double kAimForLost = 0.25;       // part of the tightest aim: then it is lost, not slow
@@ -206,6 +203,7 @@
 
   void On(const Bell&) {
     actions_.push_back(Wake{0, kTick});
+    patience_ = leaving_.Part(now_);
     if (track_at_ >= 0 && now_ >= track_at_) Track();
     if (now_ >= next_depth_) AdaptDepth();
     if (now_ >= next_interval_) ControlLoop();
@@ -364,30 +362,15 @@
 
   bool Gone(const Attempt& a, const Node& node) const { return now_ >= a.until || Lost(a, node); }
 
-  // Clients may leave long before the time they told. Of those that waited as long as leavers do in the mean,
-  // how many left? If many, work is late by then, and waiting is judged by that age. Guards against patience
-  // that is told nowhere, of all clients alike; it could hurt the patient ones where half are not.
+  // A client that is in a hurry, or was answered too late, tells nothing of when others leave.
   void NoteStay(const Request& r, bool left) {
     const double aim = double(s_.classes[r.cls].aim);
     const double age = double(now_ - r.came) / aim;
-    if (r.ended || age >= 1 || double(r.deadline - r.came) < aim) return;
-    if (left) {
-      left_.Add(1, now_, kPatienceFades);
-      leave_age_ += kPatienceGain * (age - leave_age_);
-    } else if (age >= leave_age_) {
-      stayed_.Add(1, now_, kPatienceFades);
-    }
-  }
-
-  // The part of an aim that clients wait.
-  double Patience() const {
-    const double left = left_.Now(now_, kPatienceFades);
-    const bool leaving = left > kLeavers * (kStayers + left + stayed_.Now(now_, kPatienceFades));
-    return leaving ? leave_age_ : 1;
+    if (!r.ended && (!left || age < 1) && double(r.deadline - r.came) >= aim) leaving_.Note(age, left, now_);
   }
 
   Time LateAt(const Request& r) const {
-    return std::min(r.aim_at, r.came + Time(Patience() * double(s_.classes[r.cls].aim)));
+    return std::min(r.aim_at, r.came + Time(patience_ * double(s_.classes[r.cls].aim)));
   }
 
   // ---- streams and queues ----
@@ -547,7 +530,7 @@
       const bool unheard = now_ - node.heard > kWaitFades;  // then it may only look idle
       const double wait = ExpectedWait(node);
       const bool busy =
-          !trial && (out > 0 || (best_late && unheard) || wait > kAimForWait * Patience() * tightest_aim_);
+          !trial && (out > 0 || (best_late && unheard) || wait > kAimForWait * patience_ * tightest_aim_);
       Bound& bound = best_reserved ? node.reserve : node.share;
       Bound& all = best_reserved ? reserve_ : share_;
       const double units = unheard ? std::min(bound.units, all.units) : bound.units;
@@ -735,7 +718,7 @@
   }
 
   void AdaptBoth(Bound& share, Bound& reserve, double least, double excess, double work) const {
-    const double aim = tightest_aim_ * Patience();
+    const double aim = tightest_aim_ * patience_;
     const double uneven = kUneven * work / aim;
     Adapt(share, 0, excess / aim / (share.units > s_.usual_units ? kAimForWait : kAimForPace + uneven));
     Adapt(reserve, least, excess / aim / kAimForReserve);
@@ -970,8 +953,8 @@
   limits::ListCalls list_calls_{s_.instances, kTrackSeldom};
   double tightest_aim_ = 0;
   double usual_all_ = 0;  // units a second that this host is served at all nodes
-  double leave_age_ = 1;  // over its aim, at which clients leave
-  Fading left_, stayed_;  // clients that left before their aim, and that stayed beyond that age
+  limits::Patience leaving_;
+  double patience_ = 1;  // the part of an aim that clients wait, as of the last tick
   Bound share_{kDepthStart * s_.usual_units},
       reserve_ = share_;  // of a node not heard of lately, by the answers of all: among hundreds of hosts
                           // one node's answers come too seldom to follow a surge
--- a/src/http/reader.cpp
+++ b/src/http/reader.cpp
@@ -53,6 +53,15 @@
 std::size_t Reader::Feed(std::string_view bytes) {
   const std::size_t size = bytes.size();
   while (!bytes.empty() && !whole() && !spoilt()) {
+    if (state_ == State::kToEnd) {
+      if (bytes.size() > most_ - body_.size()) {
+        Spoil(413, "the body is too long");
+        break;
+      }
+      body_.append(bytes);
+      bytes = {};
+      continue;
+    }
     if (state_ == State::kBody || state_ == State::kData) {
       const auto part = static_cast<std::size_t>(std::min<std::uint64_t>(left_, bytes.size()));
       body_.append(bytes.substr(0, part));
@@ -81,6 +90,10 @@
   return size - bytes.size();
 }
 
+void Reader::End() {
+  if (state_ == State::kToEnd) state_ = State::kWhole;
+}
+
 void Reader::OnLine(std::string_view line) {
   if (std::any_of(line.begin(), line.end(), IsControl)) return Spoil(400, "a control character in a line");
   switch (state_) {
@@ -178,7 +191,8 @@
     if (!ReadNumber(digits, 10, &left_) || left_ > most_) return Spoil(413, "the body is too long");
     state_ = left_ > 0 ? State::kBody : State::kWhole;
   } else if (kind_ == Kind::kAnswer && code_ != 204 && code_ != 304) {
-    return Spoil(502, "no length");  // it would end with the connection, and nothing told that it is whole
+    state_ = State::kToEnd;  // RFC 9112, 6.3: it ends with the connection
+    keeps_ = false;
   } else {
     state_ = State::kWhole;
   }
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -23,6 +23,9 @@
 
   // Takes bytes up to the end of the message at most; returns how many it took. The rest is not its own.
   std::size_t Feed(std::string_view bytes);
+  // The sender has ended the connection in order, which is where an answer without a length ends. A reset is
+  // no end: nothing of it may come here.
+  void End();
 
   bool begun() const { return taken_ > 0; }
   bool head() const { return state_ > State::kFields; }  // the head is read whole
@@ -47,7 +50,7 @@
   bool continues() const { return continues_; }  // a request whose body waits for a 100
 
  private:
-  enum class State { kStart, kFields, kBody, kSize, kData, kDataEnd, kTrailer, kWhole, kSpoilt };
+  enum class State { kStart, kFields, kBody, kToEnd, kSize, kData, kDataEnd, kTrailer, kWhole, kSpoilt };
 
   void OnLine(std::string_view line);
   void OnStart(std::string_view line);
--- a/src/http/targets.cpp
+++ b/src/http/targets.cpp
@@ -136,8 +136,12 @@
           setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         }
         if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))) return;
-        if (self->attempt) return self->owner->Break(*self, Outcome::kSevered);
-        self->owner->Discard(*self);
+        if (!self->attempt) return self->owner->Discard(*self);
+        // Only an end in order is the end of an answer without a length; all that came before it has been
+        // read.
+        if (!(what & BEV_EVENT_ERROR)) self->answer.End();
+        if (self->answer.whole() && self->owner->Written(*self)) return self->owner->OnAnswer(*self);
+        self->owner->Break(*self, Outcome::kSevered);
       },
       c);
   const std::uint64_t number = c->number;
--- a/tests/net/stage.h
+++ b/tests/net/stage.h
@@ -3,8 +3,8 @@
 //
 //   client c send read|write [text]      client c expect served|refused|failed|closed|status N|text T
 //   box a expect read|write|closed|nothing MS      box a send ok|error|...      client|box|discovery X close
-//   discovery send a=DRAINING ...        discovery expect watch [since=N]       wait MS
-//   discovery moves                      signal HUP|TERM                        config good|bad
+//   [reset] discovery send a=DRAINING ...        discovery expect watch [since=N]       wait MS discovery
+//   moves                      signal HUP|TERM                        config good|bad
 //
 // The same steps play over HTTP and over NBD; `bytes "..."` after send is sent as it stands.
 #ifndef WALNUTSPUR_TESTS_NET_STAGE_H_
--- a/tests/unit/limits_test.cpp
+++ b/tests/unit/limits_test.cpp
@@ -8,6 +8,7 @@
 
 #include "limits/backoff.h"
 #include "limits/cold_start.h"
+#include "limits/patience.h"
 
 namespace walnutspur::limits {
 namespace {
@@ -144,4 +145,27 @@
   CHECK(half.Room(known, 2, 0, kStart + 2 * kSecond));
 }
 
+TEST_CASE("clients that leave at random do not make all work late, however many were refused before") {
+  Patience bursts, all, none;
+  Time now = kStart;
+  for (int i = 0; i < 200; ++i, now += kSecond / 50) {
+    // One in eight leaves, soon; five are refused sooner than that, for their sake; two are answered.
+    bursts.Note(i % 8 == 0 ? 0.04 : i % 8 <= 5 ? 0.02 : 0.3, i % 8 == 0, now);
+    all.Note(0.45, true, now);
+    none.Note(1.5, false, now);
+  }
+  CHECK(bursts.Part(now) == 1);
+  CHECK(all.Part(now) == doctest::Approx(0.45));
+  CHECK(none.Part(now) == 1);
+  CHECK(all.Part(now + 60 * kSecond) == 1);  // it was long ago
+  for (int i = 0; i < 1'000; ++i) all.Note(1.2, false, now);
+  CHECK(all.Part(now) == 1);
+}
+
+TEST_CASE("half of the clients leave at an age: work has to be done by then, though the others would stay") {
+  Patience half;
+  for (int i = 0; i < 100; ++i) half.Note(i % 2 ? 0.25 : 0.9, i % 2, kStart);
+  CHECK(half.Part(kStart) == doctest::Approx(0.25));
+}
+
 }  // namespace walnutspur::limits
