Begin an attempt only on a quiet connection, for a client that waits and a key in force

Change: targets.cpp has one state for each connection (dialing, spare, settling, busy, idle); text goes into the stream when the connection is up, its client waits (Front::Waits, loop/peer.*) and the key is in force (Attempt::begin_by). An attempt waits until its connection has been quiet for 8 ms and moves to a new one if something comes. A connection whose attempt was given up while it dials is kept, one of a target. More than 16 KiB behind a request is read and dropped, the connection ends with that answer. Keyed repeats leave 50 ms before the window ends, and stay in their cell. Twenty hosts or fewer ask discovery again within 2 s. /-/ready says yes after 8 s without a list: requests are refused unharmed then. Half of the clients, not three in ten, must be gone by an age for it to count.

Tests: tests/net/brink_test.cpp; each fails with its guard taken out (nine mutations: settle, spare, window at the connection, client at the connection, client at the start, flood, key, half-closed peer, window in the module). The gaps of calls and the 8 s of readiness have no test on sockets yet.

--- a/include/walnutspur/scheduler.h
+++ b/include/walnutspur/scheduler.h
@@ -178,7 +178,8 @@
 struct Send {
   RequestId id;
   TargetId target;
-  Time try_for = 0;  // 0: until the client stops waiting
+  Time try_for = 0;   // 0: until the client stops waiting
+  Time begin_by = 0;  // the repeat of a keyed request: when its target drops such no more; 0: no such bound
 };
 struct Refuse {  // final: no, and a new try does no harm
   RequestId id;
--- a/src/app/initiator.cpp
+++ b/src/app/initiator.cpp
@@ -20,17 +20,18 @@
 namespace walnutspur::app {
 namespace {
 
-constexpr Time kStay = 450'000;                   // us after SIGTERM in which new clients still come
-constexpr Time kAnswer = 100'000;                 // us before the end by which all is answered
-constexpr std::size_t kMostNbd = 64;              // clients, and connections to boxes
-constexpr int kNbdPart = 16;                      // of the descriptors each has one in so many
-constexpr std::size_t kMostRecorded = 64 << 20;   // bytes: files count as memory
-constexpr Time kLook = 50'000;                    // us between looks whether all is answered
-constexpr Time kTell = 1'000'000;                 // us between looks at what the fleet is told
-constexpr double kLoadGain = 0.2;                 // weight of the newest second's requests
-constexpr Time kLongestMost = 3'000'000;          // us; the platform counts a longer deadline as this one
-constexpr Time kScrubPatience = 5'000'000;        // us that a scrub's read may wait for its turn
-constexpr int kKeptMemory = 4 << 20;              // bytes that free leaves with the program
+constexpr Time kStay = 450'000;                  // us after SIGTERM in which new clients still come
+constexpr Time kAnswer = 100'000;                // us before the end by which all is answered
+constexpr std::size_t kMostNbd = 64;             // clients, and connections to boxes
+constexpr int kNbdPart = 16;                     // of the descriptors each has one in so many
+constexpr std::size_t kMostRecorded = 64 << 20;  // bytes: files count as memory
+constexpr Time kReady = 8'000'000;               // us from the start by which clients are taken, list or none
+constexpr Time kLook = 50'000;                   // us between looks whether all is answered
+constexpr Time kTell = 1'000'000;                // us between looks at what the fleet is told
+constexpr double kLoadGain = 0.2;                // weight of the newest second's requests
+constexpr Time kLongestMost = 3'000'000;         // us; the platform counts a longer deadline as this one
+constexpr Time kScrubPatience = 5'000'000;       // us that a scrub's read may wait for its turn
+constexpr int kKeptMemory = 4 << 20;             // bytes that free leaves with the program
 constexpr const char* kCursors = "scrub.cursor";  // in the folder
 constexpr double kScrubWorth = 0.01;              // of its class and of its plan
 constexpr Time kKilled = 600'000;                 // us after the longest deadline; SIGKILL comes at 0.7 s
@@ -52,6 +53,7 @@
   });
   damages_ = std::make_unique<checked::Damages>(base_.get(), options.folder);
   targets_ = std::make_unique<http::Targets>(base_.get(), config_, post);
+  targets_->waits = [this](core::Serial serial) { return front_->Waits(serial); };
   // By HTTP a box has one path, and a whole object is what is damaged or not.
   targets_->on_checked = [this](const TargetId& target, const std::string& uri, bool good,
                                 const std::string& body) {
@@ -91,6 +93,9 @@
     discovery_->Adopt(known);
     OnList({walnutspur::Mode::kCached, known.entries}, known);
   }
+  // Clients are refused unharmed without a list; nobody is put to use that never says it is ready.
+  ready_ = loop::MakeTimer(base_.get(), [this] { front_->set_ready(); });
+  ready_.Start(kReady);
   if (options.fleet) StartFleet(*options.fleet);
   if (!options.replay.empty()) StartReplay(options.replay);
   if (options.folder.empty()) return;
@@ -341,6 +346,16 @@
   return *front_;
 }
 
+// Nothing is begun for a client that has left, though the engine decided so before it knew.
+void Initiator::Do(const core::Attempt& output) {
+  if (front(output.wire).Waits(output.serial)) return connector(output.wire).Start(output);
+  core::Ended ended;
+  ended.serial = output.serial;
+  ended.trial = output.trial;
+  ended.outcome = Outcome::kSuperseded;
+  owner_->Post(std::move(ended));
+}
+
 void Initiator::Do(const core::Withdraw& output) {
   targets_->Withdraw(output.target);
   if (boxes_) boxes_->Withdraw(output.target);
--- a/src/app/initiator.h
+++ b/src/app/initiator.h
@@ -71,7 +71,7 @@
   void Reload();
   void OnList(walnutspur::Membership list, const http::TargetList& raw);
 
-  void Do(const core::Attempt& output) { connector(output.wire).Start(output); }
+  void Do(const core::Attempt& output);
   void Do(const core::Cancel& output) { connector(output.wire).Stop(output.serial, output.trial); }
   void Do(const core::Withdraw& output);
   void Do(const core::Welcome& output);
@@ -112,7 +112,7 @@
   std::uint64_t next_ring_ = 0;
   std::map<std::uint64_t, loop::Watcher> rings_;
   Time stopped_ = 0;  // when it ends at the latest, once it has been told to
-  loop::Watcher outputs_, stop_, term_, interrupt_, hangup_, leave_, last_, tell_;
+  loop::Watcher outputs_, stop_, term_, interrupt_, hangup_, leave_, ready_, last_, tell_;
   std::unique_ptr<core::Owner> owner_;
 };
 
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -171,7 +171,8 @@
   request.out.emplace(trial, action.target);
   ++out_;
   const Time limit = action.try_for > 0 ? std::min(action.try_for, left) : left;
-  outputs_.push_back(Attempt{at->first, trial, request.wire, action.target, limit, request.payload});
+  outputs_.push_back(
+      Attempt{at->first, trial, request.wire, action.target, limit, request.payload, action.begin_by});
 }
 
 void Engine::Do(const Refuse& action) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -80,6 +80,7 @@
   TargetId target;
   Time limit = 0;  // how long to wait for the answer
   PayloadRef payload;
+  Time begin_by = 0;  // not to be sent later than this; 0: no such bound
 };
 struct Cancel {
   Serial serial = 0;
--- a/src/core/port.h
+++ b/src/core/port.h
@@ -20,7 +20,10 @@
   virtual ~Front() = default;
   virtual void Finish(const Answer& answer) = 0;
   virtual std::size_t held() const = 0;  // requests taken and not answered
-  virtual void EndBy(Time end) = 0;      // what is unanswered then is timed out
+  // Whether the client still waits for this request, as far as its connection can tell by now: its leaving
+  // may not have been read yet.
+  virtual bool Waits(Serial) { return true; }
+  virtual void EndBy(Time end) = 0;  // what is unanswered then is timed out
   // The program ends soon: asked over and over, with the time, us, until all has to be answered. From when
   // another request would get no answer in that time on, connections end with their next answer and no new
   // ones are taken.
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -62,13 +62,14 @@
 constexpr int kDownDoublings = 3;    // times at most while no answer comes: back within 1.6 s
 constexpr Time kTrackSeldom = 16'000'000;   // us at most until the list is asked for after a failed call
 constexpr Time kTrackPatience = 5'000'000;  // us for an answer: longer than a call waits, well under askEvery
-constexpr double kRisk = 2;           // times the tightest aim that a new object may wait rather than fail
-constexpr double kSpread = 0.2;       // random part of a placement's cost: hosts do not herd
-constexpr double kPlacedFades = 5e6;  // us; reads of new objects follow them for some seconds
-constexpr Time kFresh = 4'000'000;    // us; older reports of a volume's use say nothing of now
-constexpr int kLate = 1000;           // bands: what is likely late comes after all that is not
-constexpr Time kForget = 30'000'000;  // us after which a volume that asks for nothing is forgotten
-constexpr double kSecond = 1e6;       // us
+constexpr Time kWindowSlack = 50'000;  // us before a target forgets a key: a repeat is under way that long
+constexpr double kRisk = 2;            // times the tightest aim that a new object may wait rather than fail
+constexpr double kSpread = 0.2;        // random part of a placement's cost: hosts do not herd
+constexpr double kPlacedFades = 5e6;   // us; reads of new objects follow them for some seconds
+constexpr Time kFresh = 4'000'000;     // us; older reports of a volume's use say nothing of now
+constexpr int kLate = 1000;            // bands: what is likely late comes after all that is not
+constexpr Time kForget = 30'000'000;   // us after which a volume that asks for nothing is forgotten
+constexpr double kSecond = 1e6;        // us
 
 struct Node;
 
@@ -306,7 +307,8 @@
       r->ended = true;
       requests_.erase(d.id);
     } else if (MayTryAgain(*r, d.outcome)) {
-      Enqueue(r, r->stream->volume, r->free ? Place(*r) : r->stream->cell);
+      const bool bound = r->risk >= 0 && c.effect == Effect::kKeyed;  // to those that drop its repeats
+      Enqueue(r, r->stream->volume, r->free && !bound ? Place(*r) : r->stream->cell);
     } else {
       Finish(r);
     }
@@ -572,7 +574,8 @@
     const RequestClass& c = s_.classes[r->cls];
     const Time until = r->aim_at + (c.effect == Effect::kUnsafe ? 0 : c.aim);
     const bool cut = s_.may_cancel && !c.serial_by_key && now_ < r->aim_at;
-    actions_.push_back(Send{r->id, node.target, cut ? until - now_ : 0});
+    const bool bound = r->risk >= 0 && c.effect == Effect::kKeyed;
+    actions_.push_back(Send{r->id, node.target, cut ? until - now_ : 0, bound ? RepeatUntil(*r) : 0});
   }
 
   // ---- cold nodes ----
@@ -880,10 +883,12 @@
   bool RepeatIsSafe(const Request& r, int cell, int zone) const {
     const RequestClass& c = s_.classes[r.cls];
     if (r.risk < 0 || c.effect == Effect::kSafe) return true;
-    if (c.effect == Effect::kUnsafe || now_ >= r.risk + c.memory_span) return false;
+    if (c.effect == Effect::kUnsafe || now_ >= RepeatUntil(r)) return false;
     return c.group == Group::kAll || (c.group == Group::kCell ? cell == r.risk_cell : zone == r.risk_zone);
   }
 
+  Time RepeatUntil(const Request& r) const { return r.risk + s_.classes[r.cls].memory_span - kWindowSlack; }
+
   bool RefusalIsSafe(const Request& r) const {
     const RequestClass& c = s_.classes[r.cls];
     if (r.out) return c.effect == Effect::kSafe;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -15,6 +15,7 @@
 
 #include "core/owner.h"
 #include "log/log.h"
+#include "loop/peer.h"
 
 namespace walnutspur::http {
 namespace {
@@ -36,6 +37,7 @@
 constexpr std::size_t kUnreadPart = 4;           // of the memory one part is for answers that are not read
 constexpr std::size_t kMostAhead = 16 << 10;     // bytes read ahead of the request that waits
 constexpr std::size_t kMostDropped = 256 << 10;  // bytes read behind the last answer
+constexpr std::size_t kMostFlood = 4 << 20;      // bytes read behind a request that waits
 
 const char* Phrase(int status) {
   switch (status) {
@@ -210,6 +212,7 @@
     End(client);
     return false;
   }
+  if (client.serial != 0 && evbuffer_get_length(input) >= kMostAhead) return Flooded(client);
   if (client.serial != 0 || !(bufferevent_get_enabled(client.stream.get()) & EV_READ)) return false;
   if (!client.reader.begun() && client.asked > 0) client.unfinished.Start(kWhole);
   client.idle.Stop();
@@ -228,6 +231,18 @@
   return true;
 }
 
+// Clients send one request at a time. Of one that sends so much ahead nothing more is served, and what it
+// sends is read on: its bound would stop the reading, and with it hide that the client has left. Whether to
+// go on.
+bool Front::Flooded(Client& client) {
+  evbuffer* input = bufferevent_get_input(client.stream.get());
+  client.last = true;
+  client.dropped += evbuffer_get_length(input);
+  evbuffer_drain(input, evbuffer_get_length(input));
+  if (client.dropped > kMostFlood) End(client);
+  return false;
+}
+
 // The answer is all written; the last one ends the connection.
 void Front::OnWritten(Client& client) {
   client.unread.Stop();
@@ -274,7 +289,7 @@
   if (read.method() != "GET" && read.method() != "PUT")
     return TurnAway(client, 405, "a read is a GET, a write is a PUT");
   const Header header = [&read](const char* name) { return read.Find(name); };
-  for (const char* name : {"X-Request-Id", "X-Class", "X-Plan", "X-Deadline", "X-IO"}) {
+  for (const char* name : {"X-Request-Id", "X-Class", "X-Plan", "X-Deadline", "X-IO", "Idempotency-Key"}) {
     if (read.Count(name) > 1)
       return TurnAway(client, 400, std::string(name) + " stands there more than once");
   }
@@ -282,6 +297,9 @@
   payload->put = read.method() == "PUT";
   payload->uri = read.uri();
   if (const char* id = header("X-Request-Id")) payload->id = id;
+  // By it targets drop the repeats of a keyed request.
+  if (const char* key = header("Idempotency-Key"))
+    payload->headers = "Idempotency-Key: " + std::string(key) + "\r\n";
   payload->body = std::move(read.body());
 
   if (config_.digests.on && !TakeDigests(client, payload.get())) return;
@@ -323,9 +341,9 @@
     TurnAway(client, 400, "the digest is not that of the content");
     return false;
   }
-  payload->headers = check.headers;
+  payload->headers += check.headers;
   if (payload->put && check.headers.empty() && config_.digests.compute)
-    payload->headers =
+    payload->headers +=
         "Content-Digest: " + integrity::DigestField(*config_.digests.compute, payload->body) + "\r\n";
   bool asked = false;
   for (const char* name : {"Want-Content-Digest", "Want-Repr-Digest"}) {
@@ -346,6 +364,7 @@
   if (at == held_.end()) return;  // the client has left
   Client& client = *clients_.at(at->second.client);
   client.serial = 0;
+  client.dropped = 0;
   last_answers_.Answered(core::Now() - at->second.came);
   held_.erase(at);
   switch (answer.verdict) {
@@ -374,6 +393,15 @@
   OnRead(client);  // what was sent ahead
 }
 
+bool Front::Waits(core::Serial serial) {
+  const auto at = held_.find(serial);
+  if (at == held_.end()) return false;
+  Client& client = *clients_.at(at->second.client);
+  if (!loop::HasLeft(bufferevent_getfd(client.stream.get()))) return true;
+  End(client);
+  return false;
+}
+
 // Guards the memory: large answers wait for as long as clients are slow to read theirs.
 bool Front::Fits(std::size_t size) const {
   if (size <= kUsualBody) return true;
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -27,6 +27,7 @@
 
   void Finish(const core::Answer& answer) override;
   std::size_t held() const override { return held_.size(); }
+  bool Waits(core::Serial serial) override;
   void EndBy(Time end) override;
   void Close(Time left) override;
   std::size_t connections() const override { return clients_.size(); }
@@ -43,13 +44,13 @@
     std::uint64_t number = 0;
     Front* owner = nullptr;
     Reader reader{Reader::Kind::kRequest};
-    core::Serial serial = 0;  // the request that waits; 0: none
-    Time since = 0;           // its last answer, or when it connected
-    std::uint64_t asked = 0;  // whole requests that it has sent
-    bool told = false;        // it has been told to go on with its body
-    bool last = false;        // the answer to this request is the last on the connection
-    bool closing = false;     // it has been told of the end: what still comes is dropped
-    std::size_t dropped = 0;
+    core::Serial serial = 0;   // the request that waits; 0: none
+    Time since = 0;            // its last answer, or when it connected
+    std::uint64_t asked = 0;   // whole requests that it has sent
+    bool told = false;         // it has been told to go on with its body
+    bool last = false;         // the answer to this request is the last on the connection
+    bool closing = false;      // it has been told of the end: what still comes is dropped
+    std::size_t dropped = 0;   // bytes of what belongs to no request
     loop::Watcher unfinished;  // a request that does not become whole
     loop::Watcher idle;        // no request
     loop::Watcher unread;      // an answer that the client does not read
@@ -70,6 +71,7 @@
   void OnRead(Client& client);
   void OnWritten(Client& client);
   bool Read(Client& client);
+  bool Flooded(Client& client);
   void OnRequest(Client& client);
   bool TakeDigests(Client& client, Request* payload);
   void TurnAway(Client& client, int status, const std::string& why);
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -17,7 +17,7 @@
 struct Request : core::Payload {
   bool put = false;
   std::string uri, id, body;
-  std::string headers;                         // digest fields that pass on, as lines with their ends
+  std::string headers;                         // a key and digest fields that pass on, as lines
   std::optional<integrity::Algorithm> wanted;  // the digest that the client wants of the answer
 };
 struct Answer : core::Payload {
--- a/src/http/targets.cpp
+++ b/src/http/targets.cpp
@@ -12,9 +12,13 @@
 namespace walnutspur::http {
 namespace {
 
-constexpr double kTargetPart = 0.35;          // of the descriptors
-constexpr double kIdlePart = 0.8;             // of the time after which targets close idle connections
-constexpr Time kProbeWait = 250'000;          // us
+constexpr double kTargetPart = 0.35;  // of the descriptors
+constexpr double kIdlePart = 0.8;     // of the time after which targets close idle connections
+constexpr Time kProbeWait = 250'000;  // us
+// A second copy of an answer may come some milliseconds late. No message names its request: on a connection
+// that was used again by then it would be taken for the next one's answer.
+constexpr Time kSettle = 8'000;               // us after an answer before its connection is used again
+constexpr Time kLateUp = 2'000'000;           // us that a connection without an attempt may take to come up
 constexpr std::size_t kMostAnswer = 1 << 20;  // bytes of one answer's body
 constexpr std::size_t kUsual = 64 << 10;      // bytes of a body that the protocol names
 constexpr std::size_t kMemoryPart = 8;  // of the memory one part is for bodies beyond that, all together
@@ -61,6 +65,7 @@
 }
 
 void Targets::CloseIdle(const TargetId& target) {
+  if (const auto spare = spares_.find(target); spare != spares_.end()) Discard(*spare->second);
   const auto at = idle_.find(target);
   if (at == idle_.end()) return;
   const auto idle = std::move(at->second);
@@ -69,28 +74,33 @@
 }
 
 void Targets::Start(const core::Attempt& attempt) {
-  Launch({attempt.serial, attempt.trial}, attempt.target, attempt.limit,
+  Launch({attempt.serial, attempt.trial}, attempt.target, attempt.limit, attempt.begin_by,
          static_cast<const Request*>(attempt.payload.get()));
 }
 
 void Targets::Probe(const TargetId& target) {
-  Launch({0, static_cast<int>(++probes_)}, target, kProbeWait, nullptr);
+  Launch({0, static_cast<int>(++probes_)}, target, kProbeWait, 0, nullptr);
 }
 
 // An idle connection on which something has come, be it the end, is none to send on: what came would be taken
 // for the answer to the next request, and a request that meets the end may have run for all one can tell.
 Targets::Connection* Targets::TakeIdle(const TargetId& target) {
+  const Time now = core::Now();
   while (true) {
     const auto at = idle_.find(target);
     if (at == idle_.end()) return nullptr;
-    Connection* connection = at->second.back();
+    auto& idle = at->second;
+    auto last = std::find_if(idle.rbegin(), idle.rend(),
+                             [now](const Connection* c) { return now - c->answered >= kSettle; });
+    if (last == idle.rend()) last = std::prev(idle.rend());  // that which was answered first
+    Connection* connection = *last;
     char byte;
     if (recv(bufferevent_getfd(connection->stream.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0) {
       Discard(*connection);
       continue;
     }
-    at->second.pop_back();
-    if (at->second.empty()) idle_.erase(at);
+    idle.erase(std::next(last).base());
+    if (idle.empty()) idle_.erase(at);
     connection->idle.Stop();
     return connection;
   }
@@ -99,8 +109,8 @@
 // Descriptors are bounded: an idle connection to another target makes room for a new one.
 bool Targets::MakeRoom() {
   if (connections_.size() < most_) return true;
-  if (idle_.empty()) return false;
-  Discard(*idle_.begin()->second.front());
+  if (idle_.empty() && spares_.empty()) return false;
+  Discard(idle_.empty() ? *spares_.begin()->second : *idle_.begin()->second.front());
   return true;
 }
 
@@ -130,13 +140,13 @@
       [](bufferevent* stream, short what, void* arg) {
         auto* self = static_cast<Connection*>(arg);
         if (what & BEV_EVENT_CONNECTED) {
-          self->connected = true;
-          self->connect.Stop();
           const int on = 1;
           setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+          self->owner->OnUp(*self);
         }
         if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))) return;
         if (!self->attempt) return self->owner->Discard(*self);
+        if (self->state == State::kSettling) return self->owner->Move(*self);
         // Only an end in order is the end of an answer without a length; all that came before it has been
         // read.
         if (!(what & BEV_EVENT_ERROR)) self->answer.End();
@@ -145,12 +155,16 @@
       },
       c);
   const std::uint64_t number = c->number;
-  const auto breaks = [this, number](Outcome outcome) {
+  const auto let_go = [this, number](Outcome outcome) {
     const auto at = connections_.find(number);
-    if (at != connections_.end()) Break(*at->second, outcome);
+    if (at != connections_.end()) LetGo(*at->second, outcome);
   };
-  c->connect = loop::MakeTimer(base_, [breaks] { breaks(Outcome::kRefusedConn); });
-  c->limit = loop::MakeTimer(base_, [breaks] { breaks(Outcome::kOverdue); });
+  c->connect = loop::MakeTimer(base_, [let_go] { let_go(Outcome::kRefusedConn); });
+  c->limit = loop::MakeTimer(base_, [let_go] { let_go(Outcome::kOverdue); });
+  c->settled = loop::MakeTimer(base_, [this, number] {
+    const auto at = connections_.find(number);
+    if (at != connections_.end()) Begin(*at->second);
+  });
   c->idle = loop::MakeTimer(base_, [this, number] {
     const auto at = connections_.find(number);
     if (at != connections_.end()) Discard(*at->second);
@@ -165,34 +179,113 @@
   return c;
 }
 
-void Targets::Launch(const Key& key, const TargetId& target, Time limit, const Request* request) {
+void Targets::Launch(const Key& key, const TargetId& target, Time limit, Time begin_by,
+                     const Request* request) {
+  if (begin_by > 0 && core::Now() >= begin_by) return NeverSent(key, target);
   Connection* c = TakeIdle(target);
   if (!c) c = Open(target);
-  if (!c) {  // no address or no descriptor: never sent
-    core::Ended ended;
-    ended.serial = key.first;
-    ended.trial = key.second;
-    ended.outcome = Outcome::kRefusedConn;
-    if (key.first != 0) return post_(std::move(ended));
-    return post_(core::Probed{{target, ended.outcome, 0, {}}});
-  }
+  if (!c) return NeverSent(key, target);  // no address or no descriptor
   c->attempt = key;
+  c->begin_by = begin_by;
   c->reads = request && !request->put;
   c->wanted = request ? request->wanted : std::nullopt;
   c->uri = c->reads && config_.digests.on ? request->uri : std::string();
   c->sent = core::Now();
   c->answer = Reader(Reader::Kind::kAnswer, kMostAnswer);
   attempts_[key] = c;
-  if (!c->connected) c->connect.Start(config_.dial);
+  c->until = c->sent + limit;
   c->limit.Start(limit);
-  const std::string text = Wording(request, addresses_[target], limit);
-  bufferevent_write(c->stream.get(), text.data(), text.size());
+  c->text = Wording(request, addresses_[target], limit);
+  if (c->state == State::kDialing) return c->connect.Start(config_.dial);
+  c->state = State::kSettling;
+  const Time rest = c->answered + kSettle - c->sent;
+  if (rest > 0) return c->settled.Start(rest);
+  Begin(*c);
+}
+
+void Targets::NeverSent(const Key& key, const TargetId& target) {
+  if (key.first == 0) return post_(core::Probed{{target, Outcome::kRefusedConn, 0, {}}});
+  core::Ended ended;
+  ended.serial = key.first;
+  ended.trial = key.second;
+  ended.outcome = Outcome::kRefusedConn;
+  post_(std::move(ended));
+}
+
+// Its attempt goes into the stream only now that the connection is up and quiet: one that was given up
+// meanwhile, or whose repeat the target would drop no more, must not arrive.
+void Targets::Begin(Connection& c) {
+  const bool late = c.begin_by > 0 && core::Now() >= c.begin_by;
+  if (late || (c.attempt->first != 0 && !waits(c.attempt->first))) {
+    core::Ended ended;
+    ended.outcome = late ? Outcome::kRefusedConn : Outcome::kSuperseded;
+    Report(c, std::move(ended));
+    return Rest(c);
+  }
+  char byte;
+  if (c.state == State::kSettling &&
+      recv(bufferevent_getfd(c.stream.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0)
+    return Move(c);
+  c.state = State::kBusy;
+  bufferevent_write(c.stream.get(), c.text.data(), c.text.size());
+  c.text = {};
+}
+
+// Something has come on a connection whose attempt has not begun: it goes to a new one.
+void Targets::Move(Connection& from) {
+  Connection* to = Open(from.target);
+  if (!to) return Break(from, Outcome::kRefusedConn);
+  to->attempt = std::exchange(from.attempt, std::nullopt);
+  to->begin_by = from.begin_by;
+  to->reads = from.reads;
+  to->wanted = from.wanted;
+  to->uri = std::move(from.uri);
+  to->sent = from.sent;
+  to->until = from.until;
+  to->text = std::move(from.text);
+  to->answer = Reader(Reader::Kind::kAnswer, kMostAnswer);
+  attempts_[*to->attempt] = to;
+  Discard(from);
+  to->connect.Start(config_.dial);
+  to->limit.Start(to->until - core::Now());
 }
 
-// Whether the attempt's last byte has left: only then may it have run. Until the connection is up all of it
-// waits in the output.
+void Targets::OnUp(Connection& c) {
+  c.connect.Stop();
+  if (c.state == State::kSpare) {
+    spares_.erase(c.target);
+    return Rest(c);
+  }
+  Begin(c);
+}
+
+void Targets::Rest(Connection& c) {
+  if (!addresses_.contains(c.target)) return Discard(c);
+  c.state = State::kIdle;
+  c.text = {};
+  idle_[c.target].push_back(&c);
+  c.idle.Start(static_cast<Time>(kIdlePart * static_cast<double>(config_.idle)));
+}
+
+// The attempt is given up. A connection that is still coming up has been paid for, and the next attempt would
+// begin another: it is kept until it has come up late, one of a target.
+void Targets::LetGo(Connection& c, Outcome outcome) {
+  if (c.state == State::kSpare) return Discard(c);  // it never came up
+  const bool keeps = c.state == State::kSettling || c.state == State::kDialing;
+  if (!keeps || (c.state == State::kDialing && spares_.contains(c.target))) return Break(c, outcome);
+  core::Ended ended;
+  ended.outcome = outcome == Outcome::kRecalled ? outcome : Outcome::kRefusedConn;
+  Report(c, std::move(ended));
+  c.text = {};
+  if (c.state == State::kSettling) return Rest(c);
+  c.state = State::kSpare;
+  spares_[c.target] = &c;
+  c.connect.Start(kLateUp);
+}
+
+// Whether the attempt's last byte has left: only then may it have run.
 bool Targets::Written(const Connection& c) const {
-  return evbuffer_get_length(bufferevent_get_output(c.stream.get())) == 0;
+  return c.state == State::kBusy && evbuffer_get_length(bufferevent_get_output(c.stream.get())) == 0;
 }
 
 // Guards the memory: answers go beyond the 64 KiB that the protocol names, and all targets may send such at
@@ -209,6 +302,7 @@
 void Targets::OnRead(Connection& c) {
   // Nothing was asked: it would be taken for the answer to the next request.
   if (!c.attempt) return Discard(c);
+  if (c.state == State::kSettling) return Move(c);
   evbuffer* input = bufferevent_get_input(c.stream.get());
   while (!c.answer.whole() && !c.answer.spoilt()) {
     const std::size_t size = evbuffer_get_contiguous_space(input);
@@ -244,10 +338,10 @@
   }
   const bool keeps = c.answer.keeps() && evbuffer_get_length(bufferevent_get_input(c.stream.get())) == 0;
   Report(c, std::move(ended));
+  c.answered = core::Now();
   // What is behind an answer belongs to no request of ours.
-  if (!keeps || !addresses_.contains(c.target)) return Discard(c);
-  idle_[c.target].push_back(&c);
-  c.idle.Start(static_cast<Time>(kIdlePart * static_cast<double>(config_.idle)));
+  if (!keeps) return Discard(c);
+  Rest(c);
 }
 
 // The box has done the work, but what came back is not what it sent. Not a byte of it goes on, and nothing
@@ -266,8 +360,6 @@
   if (!c.attempt) return;
   core::Ended ended;
   if (outcome != Outcome::kRecalled && !Written(c)) outcome = Outcome::kRefusedConn;
-  // The dial timer may come in the same turn of the loop in which the connection came up and all was written.
-  if (outcome == Outcome::kRefusedConn && Written(c)) outcome = Outcome::kSevered;
   ended.outcome = outcome;
   Report(c, std::move(ended));
   Discard(c);
@@ -277,6 +369,7 @@
   const Key key = *c.attempt;
   c.attempt.reset();
   c.connect.Stop();
+  c.settled.Stop();
   c.limit.Stop();
   attempts_.erase(key);
   ended.serial = key.first;
@@ -291,8 +384,10 @@
   const auto at = connections_.find(c.number);
   if (at == connections_.end()) return;
   c.connect.Stop();
+  c.settled.Stop();
   c.limit.Stop();
   c.idle.Stop();
+  if (c.state == State::kSpare) spares_.erase(c.target);
   if (const auto idle = idle_.find(c.target); idle != idle_.end()) {
     std::erase(idle->second, &c);
     if (idle->second.empty()) idle_.erase(idle);
@@ -307,7 +402,7 @@
 
 void Targets::Stop(core::Serial serial, int trial) {
   const auto at = attempts_.find({serial, trial});
-  if (at != attempts_.end()) Break(*at->second, Outcome::kRecalled);
+  if (at != attempts_.end()) LetGo(*at->second, Outcome::kRecalled);
 }
 
 // Guards the rule on drains: an attempt whose connection is still coming up would reach the target later.
--- a/src/http/targets.h
+++ b/src/http/targets.h
@@ -38,35 +38,57 @@
   void Withdraw(const TargetId& target) override;
   void Probe(const TargetId& target);
 
+  // Asked before an attempt goes into the stream of a connection that has come up: its client may have left
+  // meanwhile.
+  std::function<bool(core::Serial)> waits = [](core::Serial) { return true; };
   // Called with each read whose answer came with a digest: whether its content fits.
   std::function<void(const TargetId& target, const std::string& uri, bool good, const std::string& body)>
       on_checked;
   std::size_t connections() const { return connections_.size(); }
+  std::size_t ready(const TargetId& target) const {  // connections that an attempt can take
+    const auto at = idle_.find(target);
+    return at == idle_.end() ? 0 : at->second.size();
+  }
   std::map<TargetId, std::uint32_t> by_target() const;
   std::size_t known() const { return addresses_.size() + idle_.size(); }
 
  private:
   using Key = std::pair<core::Serial, int>;  // an attempt; serial 0: a probe
 
+  // kDialing: coming up for its attempt, of which nothing has gone into the stream. kSpare: coming up though
+  // its attempt was given up. kSettling: up, and its attempt waits until nothing more can come of the last
+  // one. kBusy: the attempt is in the stream or out. kIdle: up, without an attempt.
+  enum class State { kDialing, kSpare, kSettling, kBusy, kIdle };
+
   struct Connection {
     Targets* owner = nullptr;
     std::uint64_t number = 0;
     TargetId target;
-    std::optional<Key> attempt;
+    State state = State::kDialing;
+    std::optional<Key> attempt;                  // while dialing or busy
+    std::string text;                            // of the attempt, while dialing or settling
+    Time until = 0;                              // when the attempt is given up
+    Time begin_by = 0;                           // when the attempt must be in the stream; 0: no such bound
+    Time answered = 0;                           // its last attempt
     bool reads = false;                          // the attempt is a GET
     std::string uri;                             // of a GET, where digests are on
     std::optional<integrity::Algorithm> wanted;  // the digest that its client wants
     Time sent = 0;
-    bool connected = false;  // it has come up
     Reader answer{Reader::Kind::kAnswer};
-    loop::Watcher connect, limit, idle;
+    loop::Watcher connect, settled, limit, idle;
     std::unique_ptr<bufferevent, loop::Freed<bufferevent_free>> stream;
   };
 
   Connection* Open(const TargetId& target);
+  void OnUp(Connection& connection);
+  void Begin(Connection& connection);
+  void Move(Connection& from);
+  void Rest(Connection& connection);
+  void LetGo(Connection& connection, Outcome outcome);
   Connection* TakeIdle(const TargetId& target);
   bool MakeRoom();
-  void Launch(const Key& key, const TargetId& target, Time limit, const Request* request);
+  void Launch(const Key& key, const TargetId& target, Time limit, Time begin_by, const Request* request);
+  void NeverSent(const Key& key, const TargetId& target);
   bool Fits() const;
   bool Written(const Connection& connection) const;
   void OnRead(Connection& connection);
@@ -85,6 +107,7 @@
   std::uint64_t probes_ = 0;
   std::map<TargetId, std::string> addresses_;
   std::map<TargetId, std::vector<Connection*>> idle_;  // the one used last at the end; none is empty
+  std::map<TargetId, Connection*> spares_;             // at most one of a target
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
   std::map<Key, Connection*> attempts_;
   std::vector<std::unique_ptr<Connection>> discarded_;  // freed outside of their own callbacks
--- a/src/limits/backoff.h
+++ b/src/limits/backoff.h
@@ -25,7 +25,7 @@
     return longest / 4 + static_cast<Time>(random * 0.75 * static_cast<double>(longest));
   }
   void Succeeded() { failures_ = 0; }
-  void First(Time first) { first_ = std::min(first, most_); }
+  void Bounds(Time first, Time most) { first_ = std::min(first, most), most_ = most; }
 
  private:
   Time first_, most_;
@@ -39,12 +39,18 @@
 // after it fell silent, of which noticing takes up to 2.5 s and the next call up to 2 s (http/discovery.cpp).
 class ListCalls {
  public:
-  // `most` is the longest gap, us; no less than a second.
-  ListCalls(int hosts, Time most)
-      : refused_(kFirst, most), overdue_(std::clamp(hosts * kEach, kFirst, most), most) {}
+  // `most` is the longest gap, us; no less than kLeast.
+  ListCalls(int hosts, Time most) : longest_(most), refused_(kFirst, most), overdue_(kFirst, most) {
+    Among(hosts);
+  }
 
-  // There are so many hosts now.
-  void Among(int hosts) { overdue_.First(std::max(hosts * kEach, kFirst)); }
+  // There are so many hosts now. Of few, each may ask so often that it has the list well within the 6 s after
+  // which a change counts as told, whatever became of the calls before; of many, that would only fill the
+  // service's queue, and nobody would be answered.
+  void Among(int hosts) {
+    refused_.Bounds(kFirst, std::clamp(hosts * kEachRefused, kLeast, longest_));
+    overdue_.Bounds(std::clamp(hosts * kEach, kFirst, longest_), std::clamp(hosts * kEach, kLeast, longest_));
+  }
   void Asked(Time now) { asked_ = now; }
   // The gap until the next ask, us, after a call that failed or a subscription that ended.
   Time Failed(Time now, double random) {
@@ -58,10 +64,13 @@
   }
 
  private:
-  static constexpr Time kFirst = 1'000'000;   // us
-  static constexpr Time kEach = 100'000;      // us for each host: ten calls a second from all
-  static constexpr Time kWaited = 1'000'000;  // us: by then a call was not refused, it waited
-  Time asked_ = -1;                           // the call that has had no answer yet
+  static constexpr Time kFirst = 1'000'000;     // us
+  static constexpr Time kLeast = 2'000'000;     // us: the longest gap of few hosts
+  static constexpr Time kEach = 100'000;        // us for each host: ten calls a second from all
+  static constexpr Time kEachRefused = 30'000;  // us: about what such a service takes for an answer
+  static constexpr Time kWaited = 1'000'000;    // us: by then a call was not refused, it waited
+  Time longest_;
+  Time asked_ = -1;  // the call that has had no answer yet
   Backoff refused_, overdue_;
 };
 
--- a/src/limits/patience.cpp
+++ b/src/limits/patience.cpp
@@ -5,7 +5,7 @@
 
 constexpr double kFades = 5e6;      // us over which clients are counted
 constexpr double kStayers = 3;      // clients taken to have stayed at each age: one that leaves tells nothing
-constexpr double kImpatient = 0.3;  // part of the clients that must be gone for their age to count
+constexpr double kImpatient = 0.5;  // part of the clients that must be gone for their age to count
 
 }  // namespace
 
--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -13,6 +13,7 @@
 
 #include "core/owner.h"
 #include "loop/address.h"
+#include "loop/peer.h"
 #include "nbd/payload.h"
 
 namespace walnutspur::nbd {
@@ -287,6 +288,15 @@
   }
 }
 
+bool Front::Waits(core::Serial serial) {
+  const auto at = held_.find(serial);
+  if (at == held_.end()) return false;
+  Client& client = *clients_.at(at->second.client);
+  if (!loop::HasLeft(bufferevent_getfd(client.stream.get()))) return true;
+  End(client);
+  return false;
+}
+
 void Front::EndBy(Time end) {
   end_ = end;
   for (auto& [serial, held] : held_) {
--- a/src/nbd/front.h
+++ b/src/nbd/front.h
@@ -31,6 +31,7 @@
 
   void Finish(const core::Answer& answer) override;
   std::size_t held() const override { return held_.size(); }
+  bool Waits(core::Serial serial) override;
   void EndBy(Time end) override;
   void Close(Time left) override;
   std::size_t connections() const override { return clients_.size(); }
--- /dev/null
+++ b/tests/net/brink_test.cpp
@@ -0,0 +1,285 @@
+// Crossings at close range: what comes in the very moment in which a connection is closed, begun or given up.
+// Each is forced: by who holds what back, never by how long something takes.
+#include <doctest/doctest.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "core/owner.h"
+#include "http/targets.h"
+#include "loop/peer.h"
+#include "stage.h"
+
+namespace walnutspur::test {
+namespace {
+
+using core::Wire;
+
+const std::string kOk = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+
+// A connector by itself, its loop turned by hand, so that the test chooses what it sees in which turn.
+class Connector {
+ public:
+  Connector() {
+    config.dial = 100'000;
+    base.reset(event_base_new());
+    targets = std::make_unique<http::Targets>(base.get(), config, [this](core::Input input) {
+      ended.push_back(std::get<core::Ended>(std::move(input)));
+    });
+    listener = Socket::Listen(&port);
+    targets->Learn("a", "127.0.0.1:" + std::to_string(port));
+  }
+  void Start(core::Serial serial, Time begin_by = 0, int trial = 0) {
+    auto request = std::make_shared<http::Request>();
+    request->uri = "/api/" + std::to_string(serial);
+    request->id = "9b1f03aa5c7e2d41";
+    core::Attempt attempt{serial, trial, Wire::kHttp, "a", 2'000'000, request, begin_by};
+    targets->Start(attempt);
+  }
+  // Turns until it holds; every wait of the loop is bounded by the timers of what it waits for.
+  template <typename Holds>
+  void Until(Holds holds) {
+    const Time end = core::Now() + 4'000'000;
+    while (!holds()) {
+      REQUIRE(core::Now() < end);
+      event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    }
+  }
+  // What came to the box whole, on one connection.
+  std::string Heard(Socket& link) {
+    Message message;
+    Until([&] { return link.Readable(0) || !link.bytes.empty(); });
+    REQUIRE(ReadMessage(link, &message, 1'000));
+    return message.start.substr(0, message.start.find(" HTTP"));
+  }
+  Socket Accept() {
+    Until([&] { return listener.Readable(0); });
+    return listener.Accept();
+  }
+
+  http::Config config;
+  loop::BaseRef base;
+  std::unique_ptr<http::Targets> targets;
+  std::vector<core::Ended> ended;
+  Socket listener;
+  int port = 0;
+};
+
+// Fills the queue of a listener that nobody accepts from, so that further connections come up late.
+class Jam {
+ public:
+  Jam(const Socket& listener, int port) {
+    listen(listener.fd(), 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    for (int i = 0; i < 2; ++i) {
+      fill_.emplace_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      connect(fill_.back().fd(), reinterpret_cast<sockaddr*>(&address), sizeof address);
+    }
+  }
+  void Clear(const Socket& listener) {
+    for (int i = 0; i < 2 && listener.Readable(20); ++i) gone_.push_back(listener.Accept());
+  }
+
+ private:
+  std::vector<Socket> fill_, gone_;
+};
+
+TEST_CASE(
+    "a connection that comes up after its attempt was given up carries nothing of it, and is used next") {
+  Connector net;
+  Jam jam(net.listener, net.port);
+  net.Start(1);
+  bool recalled = false;
+  SUBCASE("the dial time is over") {}
+  SUBCASE("the client has left") {
+    recalled = true;
+    net.targets->Stop(1, 0);
+  }
+  net.Until([&] { return net.ended.size() == 1; });
+  CHECK(net.ended[0].outcome == (recalled ? Outcome::kRecalled : Outcome::kRefusedConn));
+  CHECK(net.targets->connections() == 1);
+  jam.Clear(net.listener);
+  Socket link = net.Accept();  // the kernel asks again within a second or two
+  net.Until([&] { return net.targets->ready("a") == 1; });
+  net.Start(2);
+  CHECK(net.Heard(link) == "GET /api/2");
+  CHECK(link.bytes.empty());
+  CHECK(net.targets->connections() == 1);
+  link.Send(kOk + "mine");
+  net.Until([&] { return net.ended.size() == 2; });
+  CHECK(net.ended[1].outcome == Outcome::kCompleted);
+}
+
+TEST_CASE("what is withdrawn while it connects never arrives, and its connection is not kept") {
+  Connector net;
+  Jam jam(net.listener, net.port);
+  net.Start(1);
+  net.targets->Withdraw("a");
+  REQUIRE(net.ended.size() == 1);
+  CHECK(net.ended[0].outcome == Outcome::kRefusedConn);
+  CHECK(net.targets->connections() == 0);
+}
+
+TEST_CASE("the repeat of a keyed request is not begun once its target may have forgotten the key") {
+  Connector net;
+  net.Start(1, core::Now() - 1);
+  REQUIRE(net.ended.size() == 1);
+  CHECK(net.ended[0].outcome == Outcome::kRefusedConn);
+  CHECK_FALSE(net.listener.Readable(0));
+  net.Start(2, core::Now() + 20'000);  // it would be in time, but the loop is late when its connection is up
+  Socket link = net.listener.Accept();
+  const Time over = core::Now() + 25'000;
+  while (core::Now() < over) {
+  }
+  net.Until([&] { return net.ended.size() == 2; });
+  CHECK(net.ended[1].outcome == Outcome::kRefusedConn);
+  CHECK_FALSE(link.Readable(0));
+  net.Start(3, core::Now() + 2'000'000);
+  CHECK(net.Heard(link) == "GET /api/3");
+}
+
+TEST_CASE("a second copy that comes some milliseconds late is not the next answer") {
+  Connector net;
+  net.Start(1);
+  Socket link = net.Accept();
+  REQUIRE(net.Heard(link) == "GET /api/1");
+  link.Send(kOk + "mine");
+  net.Until([&] { return net.ended.size() == 1; });
+  Socket next;
+  net.Start(2);  // at once; what comes next is there before the loop turns again
+  SUBCASE("the copy comes first: another connection takes the attempt") {
+    link.Send(kOk + "mine");
+    next = net.Accept();
+    CHECK(net.Heard(next) == "GET /api/2");
+    next.Send(kOk + "next");
+  }
+  SUBCASE("the box ends the connection first") {
+    link.Close();
+    next = net.Accept();
+    CHECK(net.Heard(next) == "GET /api/2");
+    next.Send(kOk + "next");
+  }
+  SUBCASE("nothing comes: it goes out on the connection that stands") {
+    CHECK(net.Heard(link) == "GET /api/2");
+    link.Send(kOk + "next");
+  }
+  net.Until([&] { return net.ended.size() == 2; });
+  CHECK(net.ended[1].outcome == Outcome::kCompleted);
+  CHECK(static_cast<const http::Answer&>(*net.ended[1].payload).body == "next");
+  CHECK(net.targets->connections() == 1);
+}
+
+TEST_CASE("what is given up while its connection settles never arrives, and the connection is used next") {
+  Connector net;
+  net.Start(1);
+  Socket link = net.Accept();
+  REQUIRE(net.Heard(link) == "GET /api/1");
+  link.Send(kOk + "mine");
+  net.Until([&] { return net.ended.size() == 1; });
+  net.Start(2);
+  net.targets->Stop(2, 0);
+  net.Start(3);
+  CHECK(net.Heard(link) == "GET /api/3");
+  CHECK(net.ended[1].outcome == Outcome::kRecalled);
+}
+
+TEST_CASE("nothing is begun for a client that left while its connection was coming up") {
+  Connector net;
+  bool here = true;
+  net.targets->waits = [&](core::Serial) { return here; };
+  net.Start(1);
+  here = false;
+  Socket link = net.listener.Accept();
+  net.Until([&] { return net.ended.size() == 1; });
+  CHECK(net.ended[0].outcome == Outcome::kSuperseded);
+  here = true;
+  net.Start(2);
+  CHECK(net.Heard(link) == "GET /api/2");
+}
+
+TEST_CASE("whether a client has left is known though its loop has read nothing") {
+  int port = 0;
+  Socket listener = Socket::Listen(&port);
+  Socket client = Socket::Connect(port);
+  Socket server = listener.Accept();
+  CHECK_FALSE(loop::HasLeft(server.fd()));
+  client.Send("rubbish behind a request");
+  REQUIRE(server.Readable(1'000));
+  CHECK_FALSE(loop::HasLeft(server.fd()));
+  bool reset = false;
+  SUBCASE("by a FIN, behind unread bytes") {}
+  SUBCASE("by a reset") { reset = true; }
+  client.Close(reset);
+  while (!loop::HasLeft(server.fd())) {
+  }
+}
+
+// A request by the id's last digit, of the shard that no box holds at first.
+std::string Of(const std::string& client, char digit) {
+  return "client " + client + " send bytes \"GET /api/00000003b4d60021/000000000000000" + digit +
+         " HTTP/1.1\\r\\nX-Request-Id: 000000000000000" + digit +
+         "\\r\\nX-Class: read\\r\\nX-Plan: basic\\r\\nX-Deadline: 1.2\\r\\nX-IO: "
+         "units=1,shard=2,hosts=1\\r\\n\\r\\n\"\n";
+}
+
+TEST_CASE("of a client that leaves while its request is held nothing is sent, whatever it sent behind it") {
+  std::string behind;
+  bool reset = false;
+  SUBCASE("a FIN") {}
+  SUBCASE("a reset") { reset = true; }
+  SUBCASE("a FIN behind more than is read ahead") { behind.assign(200'000, 'x'); }
+  Stage stage(Wire::kHttp);
+  stage.Play(Of("c", '1') + "client c expect nothing 20");
+  if (!behind.empty()) stage.Play("client c send bytes \"" + behind + "\"");
+  stage.Play(reset ? "client c close reset" : "client c close");
+  int port = 0;
+  const Socket holder = Socket::Listen(&port);
+  stage.DiscoveryWrites(
+      R"({"revision":99,"complete":false,"members":[{"id":"h","phase":"SERVING","cell":2,"host_port":"127.0.0.1:)" +
+          std::to_string(port) + "\"}]}\n",
+      1'000);
+  stage.Play(Of("d", '2'));
+  REQUIRE(holder.Readable(1'000));
+  Socket link = holder.Accept();
+  Message message;
+  REQUIRE(ReadMessage(link, &message, 1'000));
+  CHECK(message.Header("X-Request-Id") == "0000000000000002");
+  CHECK_FALSE(holder.Readable(0));
+}
+
+TEST_CASE(
+    "a client that sends too much behind its request gets its answer, and nothing of the rest is served") {
+  Stage stage(Wire::kHttp);
+  stage.Play("client c send read\n box a expect read\n client c send bytes \"" + std::string(100'000, 'x') +
+             "\"\n" + R"(
+    box a send ok
+    client c expect served
+    client c expect closed)");
+  stage.Play("client d send read\n box a expect read\n client d send bytes \"" + std::string(60'000, 'x') +
+             "\"");
+}
+
+TEST_CASE("the key of a keyed request passes on unchanged, with each of its attempts") {
+  auto config = BasicConfig();
+  config["settings"]["classes"][1]["effect"] = "keyed";
+  config["settings"]["classes"][1]["group"] = "cell";
+  config["settings"]["classes"][1]["memorySpan"] = 5'000'000;
+  Stage stage(Wire::kHttp, config);
+  const auto put = [](const std::string& keys) {
+    return "client c send bytes \"PUT /api/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\\r\\nX-Request-Id: "
+           "9b1f03aa5c7e2d41\\r\\nX-Class: write\\r\\nX-Plan: basic\\r\\nX-Deadline: 1.2\\r\\nX-IO: "
+           "units=1,shard=0,hosts=1\\r\\n" +
+           keys + "Content-Length: 0\\r\\n\\r\\n\"\n";
+  };
+  stage.Play(put("idempotency-KEY: \\\"8e03978e-40d5\\\"; v\\r\\n") + "box a expect write");
+  CHECK(stage.box_message("a").Header("Idempotency-Key") == "\"8e03978e-40d5\"; v");
+  stage.Play("box a send error\n box a expect write");
+  CHECK(stage.box_message("a").Header("Idempotency-Key") == "\"8e03978e-40d5\"; v");
+  stage.Play("box a send ok\n client c expect served");
+  stage.Play(put("Idempotency-Key: a\\r\\nIdempotency-Key: b\\r\\n") + "client c expect status 400");
+}
+
+}  // namespace
+}  // namespace walnutspur::test
