Shut every connection before the program ends, ask again after 2.5 s, keep site names out

The last timer of initiator.cpp only broke the loop; front.cpp, Close, passed over connections with half a request, unread bytes or a request that a late loop had left unanswered. In a process the kernel would reset these over unread bytes. Now half requests are shut for writing 50 ms after all has to be answered, everything else by the last timer itself. A call of discovery that is silent from its first byte is given up after 2.5 s, not 3.5, and the first gap after calls that waited is 50 ms for each host: 2.5 + 1 + 2 s lie within the 6 s after which a change counts as told, for 20 hosts. The 8 s of readiness are an option of the initiator, for its test. `make lint` searches for words of single sites; the six places that had any are renamed.

Tests: end_test "half a request at the end ..." fails with its line taken out; brink_test "a process that has no list is ready ..." never ends with the timer taken out (its wait is bounded now); "after a call that failed in whatever way ..." passes, and was not yet seen to fail.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,11 @@
 tsan: tsan-build  # threads: the queues between the engine and the sockets, and the one that keeps files
 	ctest --test-dir build-tsan --output-on-failure -R "net_tests|unit_tests"
 
+# Names of single deployments: nothing in the program, its tests or its deploy files may be fitted to one.
+SITE_WORDS = slot-lookup|new-booking|schedule-export|booking-store|grade-[abc]|mill-building|annex|lowell|merrimack|regina|photo-(read|write|store)|batch-export|suva|layer-(pull|push|store)|pacific
+
 lint:
+	! grep -rniE '$(SITE_WORDS)' src include tests bench examples deploy/*.toml
 	find src include tests examples -name '*.cpp' -o -name '*.h' | xargs clang-format --dry-run --Werror
 
 # SEED=N draws another run, SHORT=1 takes under a minute, PARTS="nbd http clean kills scrub cost" are all of it. Claims
--- a/src/app/initiator.cpp
+++ b/src/app/initiator.cpp
@@ -25,13 +25,13 @@
 constexpr std::size_t kMostNbd = 64;             // clients, and connections to boxes
 constexpr int kNbdPart = 16;                     // of the descriptors each has one in so many
 constexpr std::size_t kMostRecorded = 64 << 20;  // bytes: files count as memory
-constexpr Time kReady = 8'000'000;               // us from the start by which clients are taken, list or none
-constexpr Time kLook = 50'000;                   // us between looks whether all is answered
-constexpr Time kTell = 1'000'000;                // us between looks at what the fleet is told
-constexpr double kLoadGain = 0.2;                // weight of the newest second's requests
-constexpr Time kLongestMost = 3'000'000;         // us; the platform counts a longer deadline as this one
-constexpr Time kScrubPatience = 5'000'000;       // us that a scrub's read may wait for its turn
-constexpr int kKeptMemory = 4 << 20;             // bytes that free leaves with the program
+
+constexpr Time kLook = 50'000;                    // us between looks whether all is answered
+constexpr Time kTell = 1'000'000;                 // us between looks at what the fleet is told
+constexpr double kLoadGain = 0.2;                 // weight of the newest second's requests
+constexpr Time kLongestMost = 3'000'000;          // us; the platform counts a longer deadline as this one
+constexpr Time kScrubPatience = 5'000'000;        // us that a scrub's read may wait for its turn
+constexpr int kKeptMemory = 4 << 20;              // bytes that free leaves with the program
 constexpr const char* kCursors = "scrub.cursor";  // in the folder
 constexpr double kScrubWorth = 0.01;              // of its class and of its plan
 constexpr Time kKilled = 600'000;                 // us after the longest deadline; SIGKILL comes at 0.7 s
@@ -80,7 +80,12 @@
   hangup_ = loop::Watcher(base_.get(), SIGHUP, EV_SIGNAL | EV_PERSIST, [this] { Reload(); });
   interrupt_ = loop::Watcher(base_.get(), SIGINT, EV_SIGNAL | EV_PERSIST, [this] { Drain(); });
   leave_ = loop::MakeTimer(base_.get(), [this] { Leave(); });
-  last_ = loop::MakeTimer(base_.get(), [this] { event_base_loopbreak(base_.get()); });
+  // What is still open is shut before it is closed, however late the loop is: a close over unread bytes
+  // resets.
+  last_ = loop::MakeTimer(base_.get(), [this] {
+    for (core::Front* front : fronts()) front->Close(-kAnswer);
+    event_base_loopbreak(base_.get());
+  });
   http::TargetList known;
   try {
     if (config_.known.is_object()) known = http::ReadList(config_, config_.known);
@@ -95,7 +100,7 @@
   }
   // Clients are refused unharmed without a list; nobody is put to use that never says it is ready.
   ready_ = loop::MakeTimer(base_.get(), [this] { front_->set_ready(); });
-  ready_.Start(kReady);
+  ready_.Start(options.ready_by);
   if (options.fleet) StartFleet(*options.fleet);
   if (!options.replay.empty()) StartReplay(options.replay);
   if (options.folder.empty()) return;
--- a/src/app/initiator.h
+++ b/src/app/initiator.h
@@ -36,7 +36,8 @@
       folder;  // of the damage ledger, the scrub's cursors and the control socket; empty: none of them
   checked::ScrubOptions scrub;
   std::optional<fleet::FleetOptions> fleet;  // nothing: this initiator knows of no other
-  std::string replay;  // the pcap file whose streams are played to the fronts; then the initiator ends
+  Time ready_by = 8'000'000;  // us from the start by which clients are taken, with or without a list
+  std::string replay;         // the pcap file whose streams are played to the fronts; then the initiator ends
 };
 
 class Initiator {
--- a/src/http/discovery.cpp
+++ b/src/http/discovery.cpp
@@ -14,8 +14,7 @@
 // for again (limits/backoff.h, 1 s) and the longest call (2 s) this stays under the 6 s after which what a
 // silent watch misses counts as told.
 constexpr Time kSilence = 2'500'000;  // us
-// Discovery answers or gives up a call within 2 s.
-constexpr Time kCall = 3'500'000;             // us
+
 constexpr std::size_t kMostObject = 4 << 20;  // bytes: a list that grows beyond this is none
 
 }  // namespace
@@ -36,7 +35,7 @@
   evhttp_connection_set_retries(link_.get(), 0);
   open_ = true;
   heard_ = core::Now();
-  silence_.Start(kCall);
+  silence_.Start(kSilence);  // discovery answers or gives up a call within 2 s
   evhttp_request* request =
       evhttp_request_new([](evhttp_request*, void* arg) { static_cast<Discovery*>(arg)->OnEnd(); }, this);
   evhttp_request_set_chunked_cb(
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -27,6 +27,8 @@
 constexpr Time kLinger = 500'000;       // us after the last answer in which the client may close first
 constexpr Time kPause = 50'000;         // us in which a client that was turned away is not read
 constexpr Time kCloseIdle = 100'000;    // us before all has to be answered, in which idle connections close
+constexpr Time kCloseAll = -50'000;     // us: after all has to be answered; then all others are shut as well
+constexpr Time kCloseHeld = -100'000;   // us: at the very end also what a late loop has left unanswered
 constexpr Time kAcceptAgain = 20'000;   // us without accepting when there is no room
 constexpr Time kDeadlineGuard = 5'000;  // us past the deadline: attempts' own timers come first
 constexpr Time kSettle = 30'000;        // us that a new connection has to say something, or something more
@@ -430,7 +432,8 @@
 
 // Guards against connections that end without a word on a request: a busy one ends with an answer, an idle
 // one is shut for writing first and read until its client has closed it, so that no reset reaches a client
-// that just sent something. Idle ones go on for as long as they can: they would find nobody else.
+// that just sent something. So is, at last, one that holds half a request or what is not read yet. Idle ones
+// go on for as long as they can: they would find nobody else.
 void Front::Close(Time left) {
   if (!draining_ && last_answers_.Due(left)) {
     draining_ = true;
@@ -438,7 +441,8 @@
   }
   if (left > kCloseIdle) return;
   for (const auto& [number, client] : clients_) {
-    if (client->closing || !Idle(*client) || Unread(*client)) continue;
+    if (client->closing || (client->serial != 0 && left > kCloseHeld)) continue;
+    if (left > kCloseAll && (!Idle(*client) || Unread(*client))) continue;
     client->closing = true;
     client->unfinished.Stop();
     shutdown(bufferevent_getfd(client->stream.get()), SHUT_WR);
--- a/src/lab/fleet/fleet_lab.cpp
+++ b/src/lab/fleet/fleet_lab.cpp
@@ -71,8 +71,8 @@
                            held.folder->path() + "\"\n[fleet]\nid = \"lab\"\nname = \"" + name(member) +
                            "\"\nlisten = \"127.0.0.1:" + std::to_string(carrier_.port(at)) +
                            "\"\nadvertise = \"" + carrier_.address(at) + "\"\nbuilding = \"" +
-                           (member % 2 ? "annex" : "mill-building") + "\"\nkey_file = \"" + key +
-                           "\"\npeers = [" + peers + "]\nroster = [" + roster + "]\n");
+                           (member % 2 ? "east" : "west") + "\"\nkey_file = \"" + key + "\"\npeers = [" +
+                           peers + "]\nroster = [" + roster + "]\n");
   const std::string config = held.folder->Put("config.json", Config(discovery_.port()).dump());
   return {program_, "--config", config, "--settings", settings};
 }
--- a/src/lab/fleet/town.cpp
+++ b/src/lab/fleet/town.cpp
@@ -45,7 +45,7 @@
   fleet::ViewOptions options;
   options.name = h.name;
   options.address = h.address;
-  options.building = member % 2 ? "annex" : "mill-building";
+  options.building = member % 2 ? "east" : "west";
   options.period = options_.period;
   options.lifeguard = options_.lifeguard;
   for (int i = 0; i < std::min(options_.seeds, options_.members); ++i) options.peers.push_back(at(i).address);
--- a/src/limits/backoff.h
+++ b/src/limits/backoff.h
@@ -49,7 +49,8 @@
   // service's queue, and nobody would be answered.
   void Among(int hosts) {
     refused_.Bounds(kFirst, std::clamp(hosts * kEachRefused, kLeast, longest_));
-    overdue_.Bounds(std::clamp(hosts * kEach, kFirst, longest_), std::clamp(hosts * kEach, kLeast, longest_));
+    overdue_.Bounds(std::clamp(hosts * kEach / 2, kFirst, longest_),
+                    std::clamp(hosts * kEach, kLeast, longest_));
   }
   void Asked(Time now) { asked_ = now; }
   // The gap until the next ask, us, after a call that failed or a subscription that ended.
--- a/tests/net/brink_test.cpp
+++ b/tests/net/brink_test.cpp
@@ -281,5 +281,66 @@
   stage.Play(put("Idempotency-Key: a\\r\\nIdempotency-Key: b\\r\\n") + "client c expect status 400");
 }
 
+// Whatever became of a call, the next one comes so soon that its answer is there within the 6 s after which a
+// change counts as told: the stage waits no longer than that, and the drain that it brings is kept.
+TEST_CASE("after a call that failed in whatever way the list is asked for in time, and its drain is kept") {
+  Stage stage(Wire::kHttp);
+  stage.Play("discovery close\n discovery expect watch");
+  SUBCASE("silent from the first byte") {}
+  SUBCASE("answered by a 503, twice") {
+    stage.Play("discovery send 503\n discovery expect watch\n discovery send 503");
+  }
+  SUBCASE("cut in the middle of an answer") {
+    stage.DiscoveryWrites(R"({"revision":43,"complete":true,"members":[{"id":"a")", 1'000);
+    stage.Play("discovery close");
+  }
+  SUBCASE("silent in the middle of an answer") {
+    stage.DiscoveryWrites(R"({"revision":43,"complete":true,"members":[{"id":"a")", 1'000);
+  }
+  SUBCASE("moved to a dead address and back, twice in a row") {
+    stage.Play("discovery moves\n signal HUP\n signal HUP\n discovery expect watch\n discovery close");
+  }
+  stage.Play(R"(
+    discovery expect watch
+    discovery send a=DRAINING b=SERVING
+    client bb send read
+    box b expect read
+    box b send ok
+    client bb expect served
+    client c send read
+    box a expect nothing 100)");
+}
+
+TEST_CASE("a process that has no list is ready in time all the same, and refuses unharmed") {
+  auto config = BasicConfig();
+  int port = 0;
+  Socket discovery = Socket::Listen(&port);
+  config["discovery"] = "127.0.0.1:" + std::to_string(port);
+  SUBCASE("discovery says nothing") {}
+  SUBCASE("discovery is down") { discovery.Close(); }
+  SUBCASE("what was known is an empty list, and not whole") {
+    config["known"] = {{"revision", 1}, {"complete", false}, {"members", nlohmann::json::array()}};
+  }
+  app::Options options;
+  options.ready_by = 100'000;
+  app::Initiator initiator(app::ParseConfig(config), options);
+  std::thread runs([&] { initiator.Run(); });
+  Socket client = Socket::Connect(initiator.front().port());
+  Message answer;
+  const Time end = core::Now() + 4'000'000;
+  do {
+    client.Send("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n");
+    CHECK(ReadMessage(client, &answer, 1'000));
+  } while (answer.start.find("503") != std::string::npos && core::Now() < end);
+  CHECK(answer.start == "HTTP/1.1 200 OK");
+  client.Send(
+      "GET /api/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\r\nX-Request-Id: 9b1f03aa5c7e2d41\r\nX-Class: "
+      "quick\r\nX-Plan: basic\r\nX-Deadline: 1.2\r\nX-IO: units=1,shard=0,hosts=1\r\n\r\n");
+  CHECK(ReadMessage(client, &answer, 4'000));
+  CHECK(answer.start.substr(9, 3) == "503");
+  initiator.Halt();
+  runs.join();
+}
+
 }  // namespace
 }  // namespace walnutspur::test
--- a/tests/net/end_test.cpp
+++ b/tests/net/end_test.cpp
@@ -116,6 +116,18 @@
   CHECK(all.crossed <= 5);
 }
 
+TEST_CASE("half a request at the end is shut in order while the program still reads, and never reset") {
+  Stage stage(core::Wire::kHttp);
+  Socket half = Socket::Connect(stage.http_port());
+  half.Send("GET /api/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\r\nX-Request-Id: 9b1f");
+  stage.Play("signal TERM\n signal TERM\n signal HUP");
+  REQUIRE(half.Readable(kPatience));
+  char byte;
+  CHECK(recv(half.fd(), &byte, 1, 0) == 0);
+  CHECK(half.Send("03aa5c7e2d41\r\n"));  // it crosses the end, and is read
+  CHECK(stage.Ended(1'000));
+}
+
 TEST_CASE("after SIGTERM what NBD clients send near the end is refused unrun, then the connection ends") {
   Stage stage(core::Wire::kNbd);
   stage.Play(R"(
--- a/tests/net/nbd_test.cpp
+++ b/tests/net/nbd_test.cpp
@@ -457,8 +457,7 @@
 TEST_CASE("the file of the front that the repository ships is read; wrong ones give one line") {
   Settings settings;
   settings.largest_units = 6;
-  const std::vector<std::string> classes = {"slot-lookup", "new-booking", "schedule-export"},
-                                 plans = {"grade-a"};
+  const std::vector<std::string> classes = {"read", "write", "sweep"}, plans = {"standard"};
   const nbd::Config config =
       nbd::LoadConfig(WALNUTSPUR_ROOT "/deploy/nbd.toml", classes, plans, settings, 10);
   REQUIRE(config.exports.size() == 1);
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -377,7 +377,7 @@
   rig.End(id, outcome, 20 * kMs, 0, "t" + std::to_string(cell), true);
 }
 
-// zone+vast: boxes that failed at once looked idle and drew bookings; each of a lost zone had to be tried.
+// zone+vast: boxes that failed at once looked idle and drew new objects; each of a lost zone had to be tried.
 TEST(Placement, NewObjectsAvoidBoxesThatFailAndZonesThatAreSilent) {
   for (const Outcome outcome : {Outcome::kErrored, Outcome::kOverdue}) {
     Rig rig;
