Let streams end before their loop in the tests of crossings

LeakSanitizer found three streams (27,408 bytes) of one test in brink_test: libevent keeps a stream whose callback is due when the loop ends. The box's socket of that test now outlives the stage, and the connector's test turns its loop once more.

--- a/tests/net/brink_test.cpp
+++ b/tests/net/brink_test.cpp
@@ -28,6 +28,10 @@
     listener = Socket::Listen(&port);
     targets->Learn("a", "127.0.0.1:" + std::to_string(port));
   }
+  ~Connector() {  // libevent frees a stream whose callback is still due only once the loop has turned
+    targets.reset();
+    event_base_loop(base.get(), EVLOOP_NONBLOCK);
+  }
   void Start(core::Serial serial, Time begin_by = 0, int trial = 0) {
     auto request = std::make_shared<http::Request>();
     request->uri = "/api/" + std::to_string(serial);
@@ -230,19 +234,20 @@
   SUBCASE("a FIN") {}
   SUBCASE("a reset") { reset = true; }
   SUBCASE("a FIN behind more than is read ahead") { behind.assign(40'000, 'x'); }
+  int port = 0;
+  const Socket holder = Socket::Listen(&port);
+  Socket link;  // outlives the stage
   Stage stage(Wire::kHttp);
   stage.Play(Of("c", '1') + "client c expect nothing 20");
   if (!behind.empty()) stage.Play("client c send bytes \"" + behind + "\"");
   stage.Play(reset ? "client c close reset" : "client c close");
-  int port = 0;
-  const Socket holder = Socket::Listen(&port);
   stage.DiscoveryWrites(
       R"({"revision":99,"complete":false,"members":[{"id":"h","phase":"SERVING","cell":2,"host_port":"127.0.0.1:)" +
           std::to_string(port) + "\"}]}\n",
       1'000);
   stage.Play(Of("d", '2'));
   REQUIRE(holder.Readable(1'000));
-  Socket link = holder.Accept();
+  link = holder.Accept();
   Message message;
   REQUIRE(ReadMessage(link, &message, 1'000));
   CHECK(message.Header("X-Request-Id") == "0000000000000002");
