--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -305,6 +305,10 @@
   return loop::HasUnreadBytes(bufferevent_getfd(stream_.get()));
 }
 
+Time ClientConnection::TimeSinceLastInput() const {
+  return loop::TimeSinceLastInput(bufferevent_getfd(stream_.get()));
+}
+
 bool ClientConnection::IsDisconnected() const {
   return loop::PeerHasClosed(bufferevent_getfd(stream_.get()));
 }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -81,6 +81,8 @@
   bool IsIdle() const;
   // Returns whether the kernel holds unread bytes of the connection.
   bool HasUnreadBytes() const;
+  // Returns the time since the kernel received the last bytes of the client, us.
+  Time TimeSinceLastInput() const;
   // Returns whether the kernel has received the client's FIN or reset.
   bool IsDisconnected() const;
   frontend::ConnectionActivity activity() const;
--- a/src/http/front_end.cpp
+++ b/src/http/front_end.cpp
@@ -168,8 +168,10 @@
   core::RequestReceived& request = admitted.request;
   request.request = request_numbers_->next++;
   client.SetPendingRequest(request.request);
-  // The client's timeout starts when it sends the request.
-  const Time delay = std::max(turn_clock_.SinceIterationBegan(), client.TakeTimeInBacklog());
+  // The client's timeout starts when it sends the request. The process may have been off the processor
+  // between the arrival of the request and the begin of the loop's iteration.
+  const Time delay =
+      std::max({turn_clock_.SinceIterationBegan(), client.TakeTimeInBacklog(), client.TimeSinceLastInput()});
   const Time elapsed = std::min(delay, admitted.client_timeout);
   request.deadline = core::Now() + admitted.client_timeout - elapsed;
   pending_.Add(request.request, request.deadline, client.number());
--- a/src/loop/peer.cpp
+++ b/src/loop/peer.cpp
@@ -1,5 +1,6 @@
 #include "loop/peer.h"
 
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -7,6 +8,11 @@
 namespace walnutspur::loop {
 namespace {
 
+constexpr Time kMicrosecondsPerMillisecond = 1'000;
+
+// Two ticks of a kernel's clock with 100 ticks per second, the coarsest in use.
+constexpr Time kMinMeasurableTime = 20'000;  // us
+
 // Returns the result of recv() for one byte, which stays in the socket's buffer.
 ssize_t PeekByte(evutil_socket_t fd) {
   char byte = 0;
@@ -33,4 +39,14 @@
   return ioctl(fd, FIONREAD, &bytes) == 0 && bytes > 0;
 }
 
+Time TimeSinceLastInput(evutil_socket_t fd) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return 0;
+  }
+  const Time elapsed = static_cast<Time>(info.tcpi_last_data_recv) * kMicrosecondsPerMillisecond;
+  return elapsed >= kMinMeasurableTime ? elapsed : 0;
+}
+
 }  // namespace walnutspur::loop
--- a/src/loop/peer.h
+++ b/src/loop/peer.h
@@ -1,11 +1,13 @@
-// Queries the kernel about a connection, independent of the event loop: whether there are unread bytes, and
-// whether the peer has closed the connection. Each function makes one or two system calls on the caller's
-// thread.
+// Queries the kernel about a connection, independent of the event loop: whether there are unread bytes, when
+// the last ones came, and whether the peer has closed the connection. Each function makes one or two system
+// calls on the caller's thread.
 #ifndef WALNUTSPUR_LOOP_PEER_H_
 #define WALNUTSPUR_LOOP_PEER_H_
 
 #include <event2/util.h>
 
+#include "walnutspur/types.h"
+
 namespace walnutspur::loop {
 
 // Returns whether the peer has closed its side or reset the connection. Detects that even if the event loop
@@ -20,6 +22,10 @@
 // Returns whether the kernel holds unread bytes; the end of the stream does not count.
 bool HasUnreadBytes(evutil_socket_t fd);
 
+// Returns the time since the kernel received the last bytes from the peer, us, whether or not they have been
+// read. Returns 0 for less than two ticks of the kernel's clock, and if the kernel does not tell.
+Time TimeSinceLastInput(evutil_socket_t fd);
+
 }  // namespace walnutspur::loop
 
 #endif  // WALNUTSPUR_LOOP_PEER_H_
