Target connection: a request goes to the kernel together with the deadline that it states

Cause: TargetConnection::SendRequest states the time left, and SendOrAbort checks that the client is connected, but the bytes stayed in libevent's buffer until the loop's next iteration. All callbacks of the iteration, and a stop of the process, lay in between.

Change: the output is passed to the kernel in the same call (loop::FlushOutput); what the kernel does not take is written by the loop.

Evidence: the new test starts an attempt on an idle connection without running the loop: before the change no byte reached the target, now the request is there at once. A process that is stopped between its clock and the system call itself still states too much: no program can close that window.

--- a/src/http/target_connection.cpp
+++ b/src/http/target_connection.cpp
@@ -94,6 +94,8 @@
   if (const auto request = std::exchange(attempt_->large_request, nullptr)) {
     loop::WriteShared(stream_.get(), request, request->body);
   }
+  // The deadline, and the check that the client is connected, are true now and not when the loop writes next.
+  loop::FlushOutput(stream_.get());
   attempt_->request_head = {};
   attempt_->request_rest = {};
 }
--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -36,6 +36,14 @@
   bufferevent_write(stream, bytes.data(), bytes.size());
 }
 
+// The stream keeps the start of its output buffer frozen, so that only the stream removes bytes.
+void FlushOutput(bufferevent* stream) {
+  evbuffer* output = bufferevent_get_output(stream);
+  evbuffer_unfreeze(output, 1);
+  evbuffer_write(output, bufferevent_getfd(stream));
+  evbuffer_freeze(output, 1);
+}
+
 void WriteShared(bufferevent* stream, std::shared_ptr<const void> owner, std::string_view bytes) {
   auto* held = new std::shared_ptr<const void>(std::move(owner));
   const int result = evbuffer_add_reference(
@@ -96,6 +104,8 @@
 
 void ShutdownWrites(bufferevent* stream) { shutdown(bufferevent_getfd(stream), SHUT_WR); }
 
+void Shutdown(bufferevent* stream) { shutdown(bufferevent_getfd(stream), SHUT_RDWR); }
+
 void ClearCallbacks(bufferevent* stream) { bufferevent_setcb(stream, nullptr, nullptr, nullptr, nullptr); }
 
 }  // namespace walnutspur::loop
--- a/src/loop/stream.h
+++ b/src/loop/stream.h
@@ -34,6 +34,10 @@
 
 void Write(bufferevent* stream, std::string_view bytes);
 
+// Passes buffered output of a connected stream to the kernel now, as far as the kernel takes it, instead of
+// in the loop's next iteration. What is left, also after an error, is written by the loop.
+void FlushOutput(bufferevent* stream);
+
 // Writes bytes without copying them; `owner` keeps them unchanged until they are sent.
 void WriteShared(bufferevent* stream, std::shared_ptr<const void> owner, std::string_view bytes);
 
@@ -66,6 +70,9 @@
 // Shuts down the sending side of the connection: the peer reads the end of the stream and may still send.
 void ShutdownWrites(bufferevent* stream);
 
+// Shuts down the connection in both directions at once. The stream keeps its socket until it is freed.
+void Shutdown(bufferevent* stream);
+
 // Sets the callbacks `handler->OnReadable()`, `handler->OnEvent(EventMask)` and, if the handler has this
 // method, `handler->OnWritten()`, which is called when the output buffer has drained. The handler must
 // outlive the stream, or the callbacks must be cleared first.
--- a/tests/net/attempt_deadline_test.cpp
+++ b/tests/net/attempt_deadline_test.cpp
@@ -6,6 +6,7 @@
 // the target would work on a request whose client has given up, which violates the platform's rule
 // "deadline". The tests delay the write by 0.4 s and read the header that the target receives.
 #include <doctest/doctest.h>
+#include <poll.h>
 
 #include <cstdlib>
 
@@ -18,6 +19,7 @@
 constexpr Time kTolerance = 150'000;   // maximum excess of the stated deadline over the time left, us
 constexpr Time kWriteDelay = 400'000;  // us
 constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr int kSettleMs = 100;  // after it an idle connection carries the next request at once
 
 // Returns the deadline that a request states, us.
 Time StatedDeadline(const HttpMessage& message) {
@@ -49,6 +51,18 @@
   CHECK(StatedDeadline(fixture.MessageOn(connection)) <= kTimeout - kWriteDelay + kTolerance);
 }
 
+TEST_CASE("X-Deadline: a request is on its way when its deadline is stated, not one loop iteration later") {
+  PoolFixture fixture;
+  fixture.Start(1);
+  Socket connection = fixture.Accept();
+  fixture.MessageOn(connection);
+  REQUIRE(connection.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
+  fixture.RunUntil([&] { return fixture.results.size() == 1; });
+  poll(nullptr, 0, kSettleMs);
+  fixture.Start(2);  // on the idle connection
+  CHECK(connection.Readable(0));
+}
+
 TEST_CASE("TargetPool: an attempt with no time left is not sent") {
   PoolFixture fixture;
   fixture.Start(1, 0, 0, core::Now() - 1);
