Soak: a late observer is no longer taken for a late program

Cause: clients, targets and discovery of the soak run on one loop, which judged by its own reading times. A client's timer gave up although the response lay unread in the socket; a request counted as sent before libevent had written it, a disconnect before the socket was closed; an attempt counted as arrived when the target's loop read it.

Change: requests are passed to the kernel when they count as sent; a disconnect shuts the socket down at once; arrivals count from when the kernel had the bytes (TCP_INFO), with the time of reading beside it; a client waits longer by the stalls that the new stall monitor has recorded since the request was sent. Bounds and slacks are as before. Processor waits of the processes are recorded too.

The excuse for a request written after a kill is stricter: the connection must have ended before the write (asked of the kernel), so a request on a connection to another process that shares the port counts. Its test has this case.

--- a/src/lab/fakes/http_connection.cpp
+++ b/src/lab/fakes/http_connection.cpp
@@ -4,6 +4,7 @@
 
 #include "core/clock.h"
 #include "lab/fakes/http_response.h"
+#include "loop/peer.h"
 
 namespace walnutspur::lab {
 
@@ -37,7 +38,8 @@
       return;
     }
     if (!request_.started()) {
-      request_started_at_ = core::Now();
+      request_read_at_ = core::Now();
+      request_started_at_ = request_read_at_ - loop::TimeSinceLastInput(bufferevent_getfd(stream_.get()));
     }
     loop::DrainInput(stream_.get(), request_.Feed(chunk));
     if (request_.malformed()) {
--- a/src/lab/fakes/http_connection.h
+++ b/src/lab/fakes/http_connection.h
@@ -36,8 +36,10 @@
   std::uint64_t number() const { return number_; }
   // Returns the request that is being read, or the last one read.
   const http::MessageReader& request() const { return request_; }
-  // Returns the time at which the first byte of that request was read, us.
+  // Returns the time at which the first bytes of that request arrived, us; also if this loop read them later.
   Time request_started_at() const { return request_started_at_; }
+  // Returns the time at which the first byte of that request was read, us.
+  Time request_read_at() const { return request_read_at_; }
 
   void Write(std::string_view bytes) { loop::Write(stream_.get(), bytes); }
   // Writes a response with this status and a body of fixed length.
@@ -56,6 +58,7 @@
   std::uint64_t number_;
   bool is_reading_ = true;
   Time request_started_at_ = 0;
+  Time request_read_at_ = 0;
   http::MessageReader request_{http::MessageReader::Kind::kRequest};
   loop::StreamPtr stream_;
 };
--- a/src/lab/fakes/process.cpp
+++ b/src/lab/fakes/process.cpp
@@ -88,14 +88,19 @@
   return "/proc/" + std::to_string(pid_) + "/" + name;
 }
 
-// Sums over all threads, since the schedstat of the process covers its first thread only.
-double Process::cpu() const {
+double Process::cpu() const { return SumOfSchedstat(0); }
+
+double Process::processor_wait() const { return SumOfSchedstat(1); }
+
+double Process::SumOfSchedstat(int column) const {
   double total = 0;
   std::error_code ignored;
   for (const auto& thread : std::filesystem::directory_iterator(ProcPath("task"), ignored)) {
     std::ifstream file(thread.path() / "schedstat");
     double nanoseconds = 0;
-    file >> nanoseconds;
+    for (int read = 0; read <= column; ++read) {
+      file >> nanoseconds;
+    }
     total += nanoseconds / kNanosecondsPerSecond;
   }
   return total;
--- a/src/lab/fakes/process.h
+++ b/src/lab/fakes/process.h
@@ -39,9 +39,14 @@
 
   // Returns the processor time that all threads of the process have used, in seconds.
   double cpu() const;
+  // Returns the time that all threads were ready to run and waited for a processor, in seconds.
+  double processor_wait() const;
 
  private:
   std::string ProcPath(const std::string& name) const;
+  // Returns the sum over all threads of a column of their schedstat files, in seconds. The schedstat of the
+  // process covers its first thread only.
+  double SumOfSchedstat(int column) const;
 
   pid_t pid_ = -1;
   bool reaped_ = false;
--- a/src/lab/soak/load_client.h
+++ b/src/lab/soak/load_client.h
@@ -1,7 +1,8 @@
 // Simulates the clients of one process: a number of connections, each of which sends a request, waits for its
 // response, pauses for a think time, and sends the next. Records how each request ended.
 //
-// Owned by a test environment; runs on the thread of its event loop.
+// A client whose loop was stalled, according to the stalls in the record, waits so much longer. Owned by a
+// test environment; runs on the thread of its event loop.
 #ifndef WALNUTSPUR_LAB_SOAK_LOAD_CLIENT_H_
 #define WALNUTSPUR_LAB_SOAK_LOAD_CLIENT_H_
 
@@ -30,6 +31,7 @@
       0;                          // of requests whose client disconnects at a random time before the deadline
   double reconnect_fraction = 0;  // of responses after which the client closes its connection
   int shards = 4;
+  bool starts_at_once = false;  // all connections are opened together instead of after a think time
 };
 
 class LoadClient {
@@ -70,6 +72,7 @@
   void OnReadable(Connection& connection);
   void OnEvent(Connection& connection, loop::EventMask events);
   void OnConnectionClosed(Connection& connection);
+  void OnDeadline(Connection& connection);
   void Finish(Connection& connection, ClientResult result);
   void ThinkThenSend(Connection& connection);
   PlatformRequest NextRequest(bool is_write);
--- a/src/lab/soak/record.h
+++ b/src/lab/soak/record.h
@@ -16,7 +16,8 @@
 
 // A complete request that a storage server has received.
 struct TargetArrival {
-  Time at = 0;  // of its first byte
+  Time at = 0;       // of its first bytes, as the kernel received them
+  Time read_at = 0;  // when the storage server read them; later than `at` if its event loop was late
   std::string target;
   std::string request_id;
   Time stated_deadline = -1;    // X-Deadline, us; -1: none
@@ -40,8 +41,9 @@
   int shard = 0;
   bool is_idempotent = true;
   Time sent_at = 0;
-  Time opened_at = 0;    // when its connection was opened; 0: the connection has carried a request before
-  Time deadline = 0;     // span from sent_at that the client waits, us
+  Time opened_at = 0;  // when its connection was opened; 0: the connection has carried a request before
+  bool connection_had_ended = false;  // the end of the connection had arrived before the request was written
+  Time deadline = 0;                  // span from sent_at that the client waits, us
   Time finished_at = 0;  // time of the last byte of the response, or of the end without a response
   ClientResult result = ClientResult::kOpen;
   int responses = 0;
@@ -68,6 +70,13 @@
   Time until = 0;
 };
 
+// Time that the threads of a process were ready to run and waited for a processor, together.
+struct ProcessorWait {
+  Time at = 0;  // end of the interval in which they waited
+  int process = 0;
+  Time waited = 0;  // us
+};
+
 // Everything that was recorded in a run.
 struct Record {
   std::vector<TargetArrival> arrivals;
@@ -79,6 +88,8 @@
   std::map<int, std::vector<Time>> starts;        // of each process
   std::map<int, std::vector<Time>> terminations;  // SIGTERM, by process
   std::map<int, std::vector<Time>> kills;         // SIGKILL, by process
+  std::vector<Span> stalls;                       // in which the event loop of the fakes did not run
+  std::vector<ProcessorWait> waits;               // of the processes under test
   int idle_ends = 0;                              // connections of clients that ended between requests
   std::vector<std::string> unexpected_process_ends;
 };
--- a/src/lab/soak/target_recorder.cpp
+++ b/src/lab/soak/target_recorder.cpp
@@ -14,6 +14,7 @@
   const http::MessageReader& request = connection.request();
   TargetArrival arrival;
   arrival.at = connection.request_started_at();
+  arrival.read_at = connection.request_read_at();
   arrival.target = target.name();
   if (const char* id = request.Find("X-Request-Id")) {
     arrival.request_id = id;
--- a/tests/lab/record_checker_test.cpp
+++ b/tests/lab/record_checker_test.cpp
@@ -156,6 +156,7 @@
   ClientRequest& request = record.requests[kRead];
   record.kills[kProcess] = {request.sent_at - 1'000};
   request.opened_at = request.sent_at - 2'000;
+  request.connection_had_ended = true;
   CHECK(ViolatedBy(record).empty());
 
   // The connection was opened after the kill, or has carried a request before.
@@ -164,6 +165,10 @@
   CHECK(ViolatedBy(record) == missing_response);
   request.opened_at = 0;
   CHECK(ViolatedBy(record) == missing_response);
+  // The connection was open when the request was written: another process, which shares the port, has it.
+  request.opened_at = request.sent_at - 2'000;
+  request.connection_had_ended = false;
+  CHECK(ViolatedBy(record) == missing_response);
 }
 
 TEST_CASE(
