Soak: crowds and signals in series in extended plans, and evidence of a broken seed

Change: EXTENDED=1 (--extended) adds to the plan of a seed one to three series of signals (SIGHUP five times in 100 ms, SIGHUP and SIGTERM in either order, SIGTERM twice, while paused, with a restart within the first one's time, to all processes in a row) and, in half of the plans, a crowd of 50 to 250 clients that connect at once, at a failure of discovery or a restart. Each kind is counted in the output. The signals moved from run.cpp to process_control.

--- a/Makefile
+++ b/Makefile
@@ -59,14 +59,16 @@
 	$(BUILD)/walnutspur-bench-integrity $(BUILD)/walnutspur $(PARTS)
 
 # Soak: real processes under randomly drawn faults. SEED=N first seed, COUNT=N seeds, PARALLEL=N at a time; about 15 s each.
+# EXTENDED=1 adds crowds of clients and signals in series. The evidence of a broken seed stays in EVIDENCE.
 SEED ?= 1
 COUNT ?= 50
 PARALLEL ?= 4
+EVIDENCE ?= $(BUILD)/soak-evidence
 soak:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
 	cmake --build $(BUILD) -j $(JOBS) --target walnutspur_main walnutspur_lab_program walnutspur_fault_shim
 	$(BUILD)/walnutspur-lab soak --program $(BUILD)/walnutspur --fault-shim $(BUILD)/libwalnutspur_fault_shim.so \
-	  --seed $(SEED) --count $(COUNT) --parallel $(PARALLEL)
+	  --seed $(SEED) --count $(COUNT) --parallel $(PARALLEL) --evidence $(EVIDENCE) $(if $(EXTENDED),--extended)
 
 # The fleet in virtual time: SEED=N, SHORT=1, PARTS="size worlds signs sizes" selects parts.
 bench-lab:
--- a/src/lab/commands/soak.cpp
+++ b/src/lab/commands/soak.cpp
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <cstdio>
 #include <exception>
-#include <fstream>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -16,6 +15,7 @@
 
 #include "lab/commands/command.h"
 #include "lab/invariants/invariant_names.h"
+#include "lab/soak/evidence.h"
 #include "lab/soak/plan.h"
 #include "lab/soak/run.h"
 
@@ -23,6 +23,7 @@
 namespace {
 
 using soak::Describe;
+using soak::DrawExtendedPlan;
 using soak::DrawPlan;
 using soak::RunPlan;
 using soak::Shrink;
@@ -39,7 +40,8 @@
   int count = 1;
   int parallel = 2;
   bool shrinks = false;
-  std::string log_folder;  // for the process logs of runs that violate an invariant; empty: not written
+  bool is_extended = false;
+  std::string evidence_folder = "soak-evidence";  // for the evidence of runs that violate an invariant
   SoakPrograms programs;
 };
 
@@ -61,6 +63,10 @@
     for (const auto& [invariant, count] : violations_) {
       std::printf(", %s %zu", invariant.c_str(), count);
     }
+    std::printf("\nevents");
+    for (const auto& [kind, count] : events_) {
+      std::printf(", %s %zu", std::string(soak::NameOf(kind)).c_str(), count);
+    }
     std::printf("\n");
     return failing_plans_.empty() ? kExitOk : kExitViolation;
   }
@@ -68,7 +74,8 @@
  private:
   void RunSeeds() {
     for (int number = next_++; number < options_.count; number = next_++) {
-      const SoakPlan plan = DrawPlan(options_.seed + static_cast<std::uint64_t>(number));
+      const std::uint64_t seed = options_.seed + static_cast<std::uint64_t>(number);
+      const SoakPlan plan = options_.is_extended ? DrawExtendedPlan(seed) : DrawPlan(seed);
       Report(plan, RunOrFail(plan));
     }
   }
@@ -89,6 +96,9 @@
 
   void Report(const SoakPlan& plan, const SoakResult& result) {
     const std::lock_guard lock(mutex_);
+    for (const soak::FaultEvent& event : plan.events) {
+      ++events_[event.kind];
+    }
     std::printf("seed %llu: %zu requests, %zu attempts, served %.3f, stall %d ms, violations %zu\n",
                 static_cast<unsigned long long>(plan.seed),  // NOLINT(google-runtime-int): printf's %llu
                 result.requests, result.attempts, result.served_fraction,
@@ -99,7 +109,6 @@
       return;
     }
     failing_plans_.push_back(plan);
-    WriteLogs(plan, result);
     for (const Violation& violation : result.violations) {
       ++violations_[violation.invariant];
     }
@@ -108,24 +117,16 @@
       const Violation& violation = result.violations[shown];
       std::printf("  broken %s: %s\n", violation.invariant.c_str(), violation.description.c_str());
     }
+    std::printf("  evidence: %s\n", soak::WriteEvidence(options_.evidence_folder, plan, result).c_str());
     if (options_.shrinks) {
       std::printf("  shrunk: %s", Describe(Shrink(plan, options_.programs, kShrinkRuns)).c_str());
     }
   }
 
-  void WriteLogs(const SoakPlan& plan, const SoakResult& result) const {
-    if (options_.log_folder.empty()) {
-      return;
-    }
-    for (const auto& [process, text] : result.logs) {
-      const std::string name = "seed-" + std::to_string(plan.seed) + "-n" + std::to_string(process) + ".log";
-      std::ofstream(options_.log_folder + "/" + name) << text;
-    }
-  }
-
   SoakOptions options_;
   std::atomic<int> next_{0};
-  std::mutex mutex_;  // guards the two members below and standard output
+  std::mutex mutex_;                                    // guards the members below and standard output
+  std::map<soak::FaultEventKind, std::size_t> events_;  // of all plans, by kind
   std::vector<SoakPlan> failing_plans_;
   std::map<std::string, std::size_t> violations_;  // by invariant
 };
@@ -141,9 +142,11 @@
   cli->add_option("--count", options->count, "Number of consecutive seeds to run")
       ->check(CLI::Range(1, 10'000));
   cli->add_option("--parallel", options->parallel, "Number of runs at a time")->check(CLI::Range(1, 16));
-  cli->add_option("--logs", options->log_folder,
-                  "Write the process logs of runs that violate an invariant to this folder")
-      ->check(CLI::ExistingDirectory);
+  cli->add_flag("--extended", options->is_extended,
+                "Add crowds of clients and signals in series to the plans");
+  cli->add_option(
+      "--evidence", options->evidence_folder,
+      "Write plan, record, load and process logs of runs that violate an invariant below this folder");
   cli->add_flag("--shrink", options->shrinks,
                 "Shrink a plan that violates an invariant: remove faults as long as it still does");
 }
--- a/src/lab/soak/plan.cpp
+++ b/src/lab/soak/plan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstddef>
+#include <iterator>
 #include <sstream>
 
 #include "lab/random.h"
@@ -40,8 +41,34 @@
                                       "writev@500=delay150/0.005"};
 
 // The name of each kind, in the order of FaultEventKind.
-constexpr std::array kKindNames = {"discovery_fault", "end_watches", "drain",  "return",    "target_fault",
-                                   "close_idle",      "pause",       "reload", "terminate", "kill"};
+constexpr std::array<std::string_view, kFaultEventKinds> kKindNames = {"discovery_fault",
+                                                                       "end_watches",
+                                                                       "drain",
+                                                                       "return",
+                                                                       "target_fault",
+                                                                       "close_idle",
+                                                                       "pause",
+                                                                       "reload",
+                                                                       "terminate",
+                                                                       "kill",
+                                                                       "crowd",
+                                                                       "reload_series",
+                                                                       "reload_terminate",
+                                                                       "terminate_reload",
+                                                                       "terminate_twice",
+                                                                       "terminate_paused",
+                                                                       "terminate_restart",
+                                                                       "terminate_all"};
+
+constexpr std::array kSeriesKinds = {FaultEventKind::kReloadSeries,    FaultEventKind::kReloadTerminate,
+                                     FaultEventKind::kTerminateReload, FaultEventKind::kTerminateTwice,
+                                     FaultEventKind::kTerminatePaused, FaultEventKind::kTerminateRestart,
+                                     FaultEventKind::kTerminateAll};
+constexpr int kMaxSeries = 3;  // of signals, in one plan
+constexpr int kMinCrowd = 50;  // connections
+constexpr int kMaxCrowd = 250;
+constexpr Time kMaxCrowdDuration = 3 * kSecond;
+constexpr Time kMaxSignalInterval = kSecond;  // between the first and the second SIGTERM
 
 template <typename Array>
 auto Choose(Random* random, const Array& from) {
@@ -65,8 +92,62 @@
   return event;
 }
 
+// Returns whether a crowd is of most interest at the time of this event.
+bool AttractsCrowd(const FaultEvent& event) {
+  return event.kind == FaultEventKind::kDiscoveryFault || event.kind == FaultEventKind::kTerminate ||
+         event.kind == FaultEventKind::kKill;
+}
+
+FaultEvent DrawSeries(const SoakPlan& plan, Random* random) {
+  FaultEvent event = DrawEvent(plan, random);
+  event.kind = Choose(random, kSeriesKinds);
+  const Time max = event.kind == FaultEventKind::kTerminatePaused ? kMaxPause : kMaxSignalInterval;
+  event.duration = static_cast<Time>(random->Uniform() * static_cast<double>(max));
+  return event;
+}
+
+// Draws a crowd within a second after a failure of discovery or a restart of a process.
+FaultEvent DrawCrowd(const SoakPlan& plan, Random* random) {
+  std::vector<FaultEvent> anchors;
+  std::copy_if(plan.events.begin(), plan.events.end(), std::back_inserter(anchors), AttractsCrowd);
+  const FaultEvent anchor = anchors[static_cast<std::size_t>(random->Below(anchors.size()))];
+  FaultEvent crowd = DrawEvent(plan, random);
+  crowd.kind = FaultEventKind::kCrowd;
+  crowd.at = anchor.at + static_cast<Time>(random->Uniform() * kSecond);
+  if (anchor.kind != FaultEventKind::kDiscoveryFault) {
+    crowd.process = anchor.process;
+  }
+  crowd.duration = static_cast<Time>(random->Uniform() * kMaxCrowdDuration);
+  crowd.connections = kMinCrowd + static_cast<int>(random->Below(kMaxCrowd - kMinCrowd));
+  return crowd;
+}
+
+void SortByTime(std::vector<FaultEvent>* events) {
+  std::stable_sort(events->begin(), events->end(),
+                   [](const FaultEvent& one, const FaultEvent& other) { return one.at < other.at; });
+}
+
 }  // namespace
 
+std::string_view NameOf(FaultEventKind kind) { return kKindNames[static_cast<std::size_t>(kind)]; }
+
+SoakPlan DrawExtendedPlan(std::uint64_t seed) {
+  SoakPlan plan = DrawPlan(seed);
+  plan.is_extended = true;
+  Random random(seed, "extended soak");
+  const std::uint64_t series = 1 + random.Below(kMaxSeries);
+  std::vector<FaultEvent> added;
+  for (std::uint64_t number = 0; number < series; ++number) {
+    added.push_back(DrawSeries(plan, &random));
+  }
+  if (random.Chance(0.5)) {
+    added.push_back(DrawCrowd(plan, &random));
+  }
+  plan.events.insert(plan.events.end(), added.begin(), added.end());
+  SortByTime(&plan.events);
+  return plan;
+}
+
 SoakPlan DrawPlan(std::uint64_t seed) {
   Random random(seed, "soak");
   SoakPlan plan;
@@ -107,10 +188,14 @@
        << plan.load.connections << " connections each, writes " << plan.load.write_fraction
        << ", system faults \"" << plan.system_faults << "\"\n";
   for (const FaultEvent& event : plan.events) {
-    text << "  " << event.at / kMillisecond << " ms " << kKindNames[static_cast<std::size_t>(event.kind)]
-         << " process " << event.process << " target " << event.target << " discovery fault "
-         << static_cast<int>(event.discovery_fault) << " target fault "
-         << static_cast<int>(event.target_fault) << " for " << event.duration / kMillisecond << " ms\n";
+    text << "  " << event.at / kMillisecond << " ms " << NameOf(event.kind) << " process " << event.process
+         << " target " << event.target << " discovery fault " << static_cast<int>(event.discovery_fault)
+         << " target fault " << static_cast<int>(event.target_fault) << " for "
+         << event.duration / kMillisecond << " ms";
+    if (event.connections > 0) {
+      text << " of " << event.connections << " connections";
+    }
+    text << "\n";
   }
   return text.str();
 }
--- a/src/lab/soak/run.cpp
+++ b/src/lab/soak/run.cpp
@@ -1,12 +1,14 @@
 #include "lab/soak/run.h"
 
 #include <algorithm>
-#include <csignal>
+#include <fstream>
 #include <functional>
 #include <map>
+#include <string>
 #include <utility>
 
 #include "core/clock.h"
+#include "lab/soak/process_control.h"
 #include "lab/soak/test_environment.h"
 
 namespace walnutspur::lab::soak {
@@ -14,25 +16,30 @@
 
 constexpr Time kSecond = 1'000'000;
 constexpr Time kRemovalDelay = 1'000'000;  // us from a drain to the removal from the list
-constexpr Time kMaxKillDelay =
-    3'000'000;                        // us, upper bound of the part of the delay that depends on the deadline
-constexpr Time kKillDelay = 700'000;  // us after the deadline or kMaxKillDelay
-constexpr Time kRestartDelay = 800'000;    // us from the exit of a process to its restart
 constexpr Time kMaxWriteDelay = 150'000;   // us, of the faults that delay a write
 constexpr Time kResponseWait = 2'500'000;  // us after the last request was sent
 
 // Returns whether faults of the plan delay a process between reading its clock and a write.
 bool DelaysWrites(const SoakPlan& plan) {
-  const auto is_pause = [](const FaultEvent& event) { return event.kind == FaultEventKind::kPause; };
+  const auto is_pause = [](const FaultEvent& event) {
+    return event.kind == FaultEventKind::kPause || event.kind == FaultEventKind::kTerminatePaused;
+  };
   return plan.system_faults.find("delay") != std::string::npos ||
          std::any_of(plan.events.begin(), plan.events.end(), is_pause);
 }
 
+std::string ReadLoadAverage() {
+  std::ifstream file("/proc/loadavg");
+  std::string line;
+  std::getline(file, line);
+  return line;
+}
+
 // Runs one plan.
 class PlanRunner {
  public:
   PlanRunner(const SoakPlan& plan, const SoakPrograms& programs)
-      : plan_(plan), environment_(MakeOptions(plan, programs)) {
+      : plan_(plan), environment_(MakeOptions(plan, programs)), processes_(plan, &environment_) {
     for (const FaultEvent& event : plan.events) {
       Schedule(event);
     }
@@ -100,62 +107,19 @@
       case FaultEventKind::kCloseIdle:
         At(event.at, [this, target] { environment_.target(target).CloseIdleConnections(); });
         break;
-      default:
-        ScheduleSignal(event);
-        break;
-    }
-  }
-
-  // Schedules the signals to a process.
-  void ScheduleSignal(const FaultEvent& event) {
-    const int process = event.process;
-    switch (event.kind) {
-      case FaultEventKind::kPause:
-        At(event.at, [this, process] { environment_.Signal(process, SIGSTOP); });
-        At(event.at + event.duration, [this, process] { environment_.Signal(process, SIGCONT); });
-        break;
-      case FaultEventKind::kReload:
-        At(event.at, [this, process] { environment_.Signal(process, SIGHUP); });
-        break;
-      case FaultEventKind::kTerminate:
-        At(event.at, [this, process] { Terminate(process); });
-        break;
-      case FaultEventKind::kKill:
-        At(event.at, [this, process] { KillAndRestart(process); });
+      case FaultEventKind::kCrowd:
+        At(event.at,
+           [this, event] { environment_.StartCrowd(event.process, event.connections, event.duration); });
         break;
       default:
+        At(event.at, [this, event] { processes_.Apply(event); });
         break;
     }
   }
 
-  // Does nothing if the process is already being stopped or restarted.
-  void Terminate(int process) {
-    if (!busy_[process]) {
-      busy_[process] = true;
-      environment_.Terminate(process);
-      const Time delay = std::min(plan_.load.deadline, kMaxKillDelay) + kKillDelay;
-      environment_.After(delay, [this, process] { Restart(process); });
-    }
-  }
-
-  void KillAndRestart(int process) {
-    if (!busy_[process]) {
-      busy_[process] = true;
-      Restart(process);
-    }
-  }
-
-  void Restart(int process) {
-    environment_.Kill(process);
-    environment_.After(kRestartDelay, [this, process] {
-      environment_.Start(process, TestEnvironment::StartMode::kAtOnce);
-      busy_[process] = false;
-    });
-  }
-
   void RecordUnexpectedExits() {
     for (int process = 0; process < plan_.processes; ++process) {
-      if (!busy_[process] && !environment_.IsRunning(process)) {
+      if (!processes_.IsBusy(process) && !environment_.IsRunning(process)) {
         environment_.record().unexpected_process_ends.push_back(
             "process " + std::to_string(process) + " exited unexpectedly: " + environment_.Log(process));
       }
@@ -169,6 +133,11 @@
     options.drain_grace = plan_.drain_grace;
     options.write_delay = DelaysWrites(plan_) ? kMaxWriteDelay : 0;
     result.violations = FindViolations(record, options);
+    result.load_before = load_before_;
+    result.load_after = ReadLoadAverage();
+    if (!result.violations.empty()) {
+      result.record = record;
+    }
     for (int process = 0; process < plan_.processes && !result.violations.empty(); ++process) {
       result.logs[process] = environment_.Log(process);
     }
@@ -181,8 +150,9 @@
 
   const SoakPlan& plan_;
   TestEnvironment environment_;
+  ProcessControl processes_;
+  std::string load_before_ = ReadLoadAverage();
   std::multimap<Time, std::function<void()>> actions_;  // by time after the clients' start
-  std::map<int, bool> busy_;                            // processes that are being stopped or restarted
 };
 
 bool ViolatesInvariant(const SoakPlan& plan, const SoakPrograms& programs) {
--- a/src/lab/soak/run.h
+++ b/src/lab/soak/run.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "lab/soak/plan.h"
+#include "lab/soak/record.h"
 #include "lab/soak/record_checker.h"
 
 namespace walnutspur::lab::soak {
@@ -23,6 +24,9 @@
 struct SoakResult {
   std::vector<Violation> violations;
   std::map<int, std::string> logs;  // of the processes, if an invariant is violated
+  Record record;                    // if an invariant is violated
+  std::string load_before;          // line of /proc/loadavg
+  std::string load_after;
   std::size_t requests = 0;
   std::size_t attempts = 0;
   double served_fraction = 0;  // of the requests
