NBD front end: a late loop does not end a client's connection; ends are logged

What callers saw: a volume's user could lose its connection in the middle of a write although it had sent all of it.

Cause: the timers of a command (2.5 s) and of the handshake count wall time. A loop that did not run for so long reads 16 KiB in its next iteration and then runs the timer, while the rest of the command lies in the socket. The initiator's own lateness ended the connection.

Change: if bytes wait unread when such a timer fires, the loop gets 0.1 s to read them, once per timer. A client that sends slowly is still disconnected within 3 s, as its test wants.

Evidence: the new test blocks the loop for 2.7 s after 20,000 of 65,536 bytes were read: before the change the connection was closed, now the command gets its reply.

nbd_client_ended (new log kind) has the reason, the commands in flight and the error of each end; the blocking client's message has its errno.

--- a/src/log/event_kinds.h
+++ b/src/log/event_kinds.h
@@ -38,6 +38,9 @@
 constexpr std::string_view kScrubRestarted = "scrub_restarted";
 constexpr std::string_view kTargetRejected = "target_rejected";
 
+// Clients over NBD.
+constexpr std::string_view kNbdClientEnded = "nbd_client_ended";
+
 // The fleet.
 constexpr std::string_view kFleetConvergenceChanged = "fleet_convergence_changed";
 constexpr std::string_view kFleetMemberChanged = "fleet_member_changed";
@@ -49,7 +52,7 @@
     kCorruptionLogRejected, kDirectoryWritable,     kDirectoryWriteFailed,    kExportAttachFailed,
     kScrubRestarted,        kTargetRejected,        kFleetConvergenceChanged, kFleetMemberChanged,
     kFleetNameRejected,     kConfigurationReloaded, kClientsHandedOver,       kHandoverFailed,
-    kHandoverListRejected,  kProcessCountChanged};
+    kHandoverListRejected,  kProcessCountChanged,   kNbdClientEnded};
 
 }  // namespace walnutspur::log
 
--- a/src/nbd/blocking_client.cpp
+++ b/src/nbd/blocking_client.cpp
@@ -35,8 +35,11 @@
 std::string Receive(int fd) {
   std::string bytes(kReceiveBytes, '\0');
   const ssize_t size = recv(fd, bytes.data(), bytes.size(), 0);
-  if (size <= 0) {
-    throw ConnectionError("the server closed or reset the connection");
+  if (size == 0) {
+    throw ConnectionError("the server closed the connection");
+  }
+  if (size < 0) {
+    throw ConnectionError(std::string("cannot receive from the server: ") + std::strerror(errno));
   }
   bytes.resize(static_cast<std::size_t>(size));
   return bytes;
--- a/src/nbd/client_connection.cpp
+++ b/src/nbd/client_connection.cpp
@@ -4,10 +4,12 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cstring>
 #include <utility>
 #include <vector>
 
 #include "core/scheduler_thread.h"
+#include "loop/peer.h"
 #include "nbd/messages.h"
 
 namespace walnutspur::nbd {
@@ -24,6 +26,9 @@
 // Limit of the time from the first to the last byte of a command, us.
 constexpr Time kCommandTimeout = 2'500'000;
 
+// Time in which the loop reads what has arrived before a timeout, us.
+constexpr Time kUnreadInputTime = 100'000;
+
 // Enables TCP keep-alive, since clients on unreliable links may disappear without closing their connections.
 void EnableKeepAlive(evutil_socket_t fd) {
   const int enabled = 1;
@@ -42,9 +47,10 @@
   }
   loop::DisableNagle(fd);
   EnableKeepAlive(fd);
-  handshake_timer_ = loop::MakeTimer(base, [this] { owner_->OnEnd(*this); });
+  handshake_timer_ =
+      loop::MakeTimer(base, [this] { OnTimeout(EndReason::kHandshakeTimeout, &handshake_timer_); });
   handshake_timer_.Start(config_.handshake_timeout);
-  command_timer_ = loop::MakeTimer(base, [this] { owner_->OnEnd(*this); });
+  command_timer_ = loop::MakeTimer(base, [this] { OnTimeout(EndReason::kCommandTimeout, &command_timer_); });
   loop::SetCallbacks(stream_.get(), this);
   return true;
 }
@@ -54,6 +60,15 @@
   Write(Greeting());
 }
 
+// If bytes wait unread, the loop may be late and the client not: it is given time to read them, once.
+void ClientConnection::OnTimeout(EndReason reason, loop::EventHandle* timer) {
+  if (loop::HasUnreadBytes(fd()) && !std::exchange(timeout_extended_, true)) {
+    timer->Start(kUnreadInputTime);
+    return;
+  }
+  owner_->OnEnd(*this, reason, "");
+}
+
 void ClientConnection::Write(const std::string& bytes) {
   if (!bytes.empty()) {
     loop::Write(stream_.get(), bytes);
@@ -61,8 +76,11 @@
 }
 
 void ClientConnection::OnEvent(loop::EventMask what) {
-  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) {
-    owner_->OnEnd(*this);
+  const int error = EVUTIL_SOCKET_ERROR();
+  if (what & BEV_EVENT_ERROR) {
+    owner_->OnEnd(*this, EndReason::kConnectionFailed, evutil_socket_error_to_string(error));
+  } else if (what & BEV_EVENT_EOF) {
+    owner_->OnEnd(*this, EndReason::kClientClosed, "");
   }
 }
 
@@ -136,6 +154,7 @@
   if (!runs) {
     command_timer_.Stop();
   } else if (!command_timer_runs_ || command_completed) {
+    timeout_extended_ = false;
     command_timer_.Start(kCommandTimeout);
   }
   command_timer_runs_ = runs;
@@ -145,7 +164,9 @@
   const bool written = loop::UnwrittenBytes(stream_.get()) == 0;
   if (session_.ended()) {
     if (written) {
-      owner_->OnEnd(*this);
+      const bool is_regular = session_.error().empty();
+      owner_->OnEnd(*this, is_regular ? EndReason::kClientClosed : EndReason::kProtocolError,
+                    session_.error());
     } else {
       handshake_timer_.Start(config_.handshake_timeout);  // the client may not read its last replies
     }
--- a/src/nbd/client_connection.h
+++ b/src/nbd/client_connection.h
@@ -21,14 +21,25 @@
 
 class ClientConnection;
 
+// Why the connection of a client has ended.
+enum class EndReason {
+  kClientClosed,      // the client closed it, or left as the protocol has it
+  kConnectionFailed,  // a read or a write failed
+  kHandshakeTimeout,  // the client did not complete the handshake, or did not read its last replies
+  kCommandTimeout,    // the client did not send the rest of a command
+  kProtocolError,     // the client violated the protocol
+  kEvicted,           // for a new connection; its client had sent no command
+};
+
 // Interface that the owner of client connections implements.
 class ClientConnectionOwner {
  public:
   virtual ~ClientConnectionOwner() = default;
   // Called with each command that has been received completely.
   virtual void OnCommand(ClientConnection& connection, Request request) = 0;
-  // Called when the connection has ended; the owner must destroy it.
-  virtual void OnEnd(ClientConnection& connection) = 0;
+  // Called when the connection has ended; the owner must destroy it. `error` describes the failure of a read
+  // or a write, or the violation of the protocol.
+  virtual void OnEnd(ClientConnection& connection, EndReason reason, const std::string& error) = 0;
   // Returns whether the process is draining.
   virtual bool draining() const = 0;
 };
@@ -76,6 +87,7 @@
   frontend::EvictionRank eviction_rank() const;
   bool HasCapacity() const;
   void PauseReading();
+  void OnTimeout(EndReason reason, loop::EventHandle* timer);
   void FeedSession(std::string_view bytes);
   void UpdateCommandTimer(bool command_completed);
 
@@ -88,6 +100,7 @@
   Time connected_at_ = 0;              // us
   loop::EventHandle handshake_timer_;  // limits the handshake, and the client's read of the last replies
   bool command_timer_runs_ = false;    // true while a command is incomplete
+  bool timeout_extended_ = false;      // the running timer was extended to read what had arrived
   bool write_closed_ = false;          // shut down for writing; input is discarded
   loop::EventHandle command_timer_;    // limits the time to receive a whole command
   loop::StreamPtr stream_;
--- a/src/nbd/front_end.cpp
+++ b/src/nbd/front_end.cpp
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include "core/scheduler_thread.h"
+#include "log/event_kinds.h"
+#include "log/log.h"
 #include "loop/address.h"
 #include "loop/peer.h"
 
@@ -20,6 +22,24 @@
 constexpr frontend::EvictionLimits kEvictionLimits = {.handshake_grace = std::chrono::milliseconds(30),
                                                       .first_request_grace = std::chrono::milliseconds(250)};
 
+const char* NameOf(EndReason reason) {
+  switch (reason) {
+    case EndReason::kClientClosed:
+      return "client_closed";
+    case EndReason::kConnectionFailed:
+      return "connection_failed";
+    case EndReason::kHandshakeTimeout:
+      return "handshake_timeout";
+    case EndReason::kCommandTimeout:
+      return "command_timeout";
+    case EndReason::kProtocolError:
+      return "protocol_error";
+    case EndReason::kEvicted:
+      return "evicted";
+  }
+  return "";
+}
+
 }  // namespace
 
 FrontEnd::FrontEnd(event_base* base, const Config& config, const Settings& settings,
@@ -66,17 +86,22 @@
   ClientConnection* evicted =
       eviction_.Choose(clients_, core::Now(), [](const ClientConnection&) { return false; });
   if (evicted != nullptr) {
-    OnEnd(*evicted);
+    OnEnd(*evicted, EndReason::kEvicted, "");
   }
   return evicted != nullptr;
 }
 
-void FrontEnd::OnEnd(ClientConnection& connection) {
+void FrontEnd::OnEnd(ClientConnection& connection, EndReason reason, const std::string& error) {
   const auto at = clients_.find(connection.number());
   if (at == clients_.end()) {
     return;
   }
   const std::unique_ptr<ClientConnection> ended = std::move(at->second);
+  const bool is_regular = reason == EndReason::kClientClosed && ended->in_flight().empty();
+  log::Event(is_regular ? log::Level::kInfo : log::Level::kWarn, log::kNbdClientEnded,
+             {{"reason", NameOf(reason)},
+              {"in_flight", std::to_string(ended->in_flight().size())},
+              {"error", error}});
   clients_.erase(at);
   for (const auto& [cookie, request] : ended->in_flight()) {
     pending_.RemoveDisconnected(request);
@@ -92,7 +117,7 @@
   if (!loop::PeerHasClosed(client.fd())) {
     return true;
   }
-  OnEnd(client);
+  OnEnd(client, EndReason::kClientClosed, "");
   return false;
 }
 
--- a/src/nbd/front_end.h
+++ b/src/nbd/front_end.h
@@ -59,7 +59,7 @@
 
   // ClientConnectionOwner
   void OnCommand(ClientConnection& connection, Request request) override;
-  void OnEnd(ClientConnection& connection) override;
+  void OnEnd(ClientConnection& connection, EndReason reason, const std::string& error) override;
   bool draining() const override { return shutdown_.is_draining(); }
 
   void OnAccept(evutil_socket_t fd);
--- a/tests/net/nbd_front_end_test.cpp
+++ b/tests/net/nbd_front_end_test.cpp
@@ -1,5 +1,6 @@
 // Tests NBD over sockets: incomplete replies, stalled handshakes, invalid commands and idle connections.
 #include <doctest/doctest.h>
+#include <poll.h>
 
 #include "nbd/config.h"
 #include "nbd/front_end.h"
@@ -182,6 +183,30 @@
   runner.Play("target a expect nothing 1");
 }
 
+TEST_CASE("NBD front end: a command that came in time is executed although the loop is late to read it") {
+  constexpr int kLoopStallMs = 2'700;  // longer than the timeout of a command
+  constexpr std::size_t kDataBytes = 64 << 10;
+  constexpr std::size_t kFirstBytes = 20'000;
+  ScenarioRunner runner(Protocol::kNbd);
+  nbd::Request request;
+  request.type = nbd::kWrite;
+  request.offset = std::uint64_t{1} << 60;  // beyond the export: replied to at once
+  request.length = kDataBytes;
+  std::string command;
+  nbd::PutRequest(request, &command);
+  command.resize(command.size() + kDataBytes);
+  Socket socket = NegotiatedConnection(runner);
+  REQUIRE(socket.Send(command.substr(0, kFirstBytes)));
+  poll(nullptr, 0, 50);  // the front end reads the first part
+  const timeval at_once{};
+  event_base_once(
+      runner.initiator().base(), -1, EV_TIMEOUT,
+      [](evutil_socket_t, short, void*) { poll(nullptr, 0, kLoopStallMs); }, nullptr, &at_once);
+  REQUIRE(socket.Send(command.substr(kFirstBytes)));
+  CHECK(socket.Fill(kLoopStallMs + 2'000));
+  CHECK(socket.open());
+}
+
 TEST_CASE("NBD front end: silent connections are evicted for a client; a connection with a request is not") {
   auto config = BasicConfig();
   config["limits"]["sockets"] = 100;  // allows six clients
