Soak: SIGHUP is sent once the process can take it

Cause, from the record: the process was forked at the end of a stall of 208 ms, and the reload that was due in that stall was sent right after the fork. SIGHUP ends any program that has not come to set its handler; no program can prevent that.

Change: Reload waits until the kernel shows that the process blocks or handles SIGHUP, which the program does first of all. Signals in the very first moments of the program itself are still drawn. The new test sends it so 20 times; the process keeps running.

--- a/src/lab/fakes/process.cpp
+++ b/src/lab/fakes/process.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdint>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -18,6 +19,7 @@
 constexpr int kExecFailed = 127;      // exit code, as a shell returns it
 constexpr mode_t kLogMode = 0640;
 constexpr double kNanosecondsPerSecond = 1e9;
+constexpr int kHexadecimal = 16;
 
 // Runs in the child.
 [[noreturn]] void Execute(char* const* arguments, const std::map<std::string, std::string>& environment,
@@ -61,6 +63,20 @@
   }
 }
 
+bool Process::HandlesSignal(int number) const {
+  std::ifstream status(ProcPath("status"));
+  const std::uint64_t bit = std::uint64_t{1} << static_cast<unsigned>(number - 1);
+  for (std::string line; std::getline(status, line);) {
+    if (!line.starts_with("SigBlk:") && !line.starts_with("SigCgt:")) {
+      continue;
+    }
+    if ((std::stoull(line.substr(line.find(':') + 1), nullptr, kHexadecimal) & bit) != 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void Process::Kill() {
   if (reaped_) {
     return;
--- a/src/lab/fakes/process.h
+++ b/src/lab/fakes/process.h
@@ -30,6 +30,8 @@
   Process& operator=(const Process&) = delete;
 
   void Signal(int number) const;
+  // Returns whether the process handles or blocks a signal, instead of being ended by it.
+  bool HandlesSignal(int number) const;
   // Sends SIGKILL and waits until the process has exited.
   void Kill();
   // Waits at most `ms` milliseconds for the process to exit. Returns the exit code, or -1 if a signal ended
--- a/src/lab/soak/process_control.cpp
+++ b/src/lab/soak/process_control.cpp
@@ -37,7 +37,7 @@
       Pause(process, event.duration);
       break;
     case FaultEventKind::kReload:
-      environment_->Signal(process, SIGHUP);
+      environment_->Reload(process);
       break;
     case FaultEventKind::kTerminate:
       Terminate(process, terminate);
@@ -49,12 +49,12 @@
       ReloadInSeries(process);
       break;
     case FaultEventKind::kReloadTerminate:
-      environment_->Signal(process, SIGHUP);
+      environment_->Reload(process);
       Terminate(process, terminate);
       break;
     case FaultEventKind::kTerminateReload:
       Terminate(process, terminate);
-      environment_->Signal(process, SIGHUP);
+      environment_->Reload(process);
       break;
     case FaultEventKind::kTerminateTwice:
       Terminate(process, [this, process, &event] {
@@ -86,7 +86,7 @@
 
 void ProcessControl::ReloadInSeries(int process) {
   for (int number = 0; number < kReloads; ++number) {
-    SignalAfter(number * kReloadInterval, process, SIGHUP);
+    environment_->After(number * kReloadInterval, [this, process] { environment_->Reload(process); });
   }
 }
 
--- a/src/lab/soak/test_environment.cpp
+++ b/src/lab/soak/test_environment.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr Time kStartTimeout = 10'000'000;      // us until a process listens
+constexpr Time kReloadPollInterval = 1'000;     // us
 constexpr Time kCrowdThinkTime = 300'000;       // us
 constexpr std::uint64_t kFirstCrowdSeed = 500;  // of a crowd's load, after the seeds of the usual clients
 
@@ -209,6 +210,14 @@
 
 void TestEnvironment::Signal(int process, int number) { member(process).process->Signal(number); }
 
+void TestEnvironment::Reload(int process) {
+  if (IsRunning(process) && !member(process).process->HandlesSignal(SIGHUP)) {
+    After(kReloadPollInterval, [this, process] { Reload(process); });
+    return;
+  }
+  Signal(process, SIGHUP);
+}
+
 bool TestEnvironment::IsRunning(int process) {
   return member(process).process && member(process).process->running();
 }
--- a/src/lab/soak/test_environment.h
+++ b/src/lab/soak/test_environment.h
@@ -82,6 +82,9 @@
   void Terminate(int process);  // SIGTERM
   void Kill(int process);       // SIGKILL
   void Signal(int process, int number);
+  // Sends SIGHUP, which ends any program that has just been started and has no handler yet: waits until it
+  // has.
+  void Reload(int process);
   bool IsRunning(int process);
 
   // Changes the state of a target in the endpoint list.
--- a/tests/faults/stopped_process_test.cpp
+++ b/tests/faults/stopped_process_test.cpp
@@ -36,5 +36,16 @@
   CHECK(DescribeFirst(lab::soak::FindViolations(environment.record(), {})) == "");
 }
 
+TEST_CASE("Initiator: SIGHUP as soon as the process can take it does not end it") {
+  lab::soak::TestEnvironment environment(ProcessOptions());
+  for (int start = 0; start < 20; ++start) {
+    environment.Start(0, lab::soak::TestEnvironment::StartMode::kAtOnce);
+    environment.Reload(0);
+    environment.RunFor(kSecond / 5);
+    CHECK(environment.IsRunning(0));
+    environment.Kill(0);
+  }
+}
+
 }  // namespace
 }  // namespace walnutspur::test
