HTTP front end: a late loop does not reject a body that has arrived

What callers saw: 408 to a client that had sent its body in time.

Cause: as in the NBD front end, the timeout of a request (2.5 s, and 40,000 bytes of the body in each further period) counts wall time. After a stall the loop reads 16 KiB, then the timer fires although the rest lies in the socket.

Change: if bytes wait unread when the timer fires, the loop gets 0.1 s to read them, once in each period.

Evidence: the new test blocks the loop for 2.7 s after 20,000 of 60,000 bytes: 408 before the change; now the request is taken and rejected with 503, since its deadline has passed. Slow and silent clients still get 408 within 3 s (their tests are unchanged).

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -13,6 +13,9 @@
 constexpr Time kRequestTimeout = 2'500'000;
 constexpr std::size_t kMinBodyBytes = 40'000;
 
+// Time in which the loop reads what has arrived before that timeout, us.
+constexpr Time kUnreadInputTime = 100'000;
+
 // Maximum number of bytes of a streamed response that the client has not read.
 constexpr std::size_t kMaxUnwrittenBytes = 32 << 10;
 
@@ -121,9 +124,15 @@
   const std::size_t received = reader_.body().size();
   if (is_head_read_ && received >= body_bytes_checked_ + kMinBodyBytes) {
     body_bytes_checked_ = received;
+    timeout_extended_ = false;
     request_timeout_.Start(kRequestTimeout);
     return;
   }
+  // If bytes wait unread, the loop may be late and the client not: it is given time to read them, once.
+  if (HasUnreadBytes() && !std::exchange(timeout_extended_, true)) {
+    request_timeout_.Start(kUnreadInputTime);
+    return;
+  }
   Reject({kStatusRequestTimeout, "the request did not become whole in time"});
 }
 
@@ -251,6 +260,7 @@
   reader_ = MessageReader(MessageReader::Kind::kRequest, kMaxRequestBodyBytes);
   is_head_read_ = false;
   body_bytes_checked_ = 0;
+  timeout_extended_ = false;
   continue_sent_ = false;
   last_active_ = core::Now();
   request_timeout_.Stop();
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -123,6 +123,7 @@
   Time last_active_;                    // when the last response was sent, or else when the client connected
   std::uint64_t requests_read_ = 0;     // complete requests
   bool is_head_read_ = false;           // of the current request
+  bool timeout_extended_ = false;       // the request's timeout was extended to read what had arrived
   std::size_t body_bytes_checked_ = 0;  // of the current request, at the last check of its progress
   std::shared_ptr<BodyStream> body_;    // of the response that is being passed on; null: none
   bool has_chunked_body_ = false;       // body_ is written in chunks
--- a/tests/net/misbehaving_client_test.cpp
+++ b/tests/net/misbehaving_client_test.cpp
@@ -1,5 +1,6 @@
 // Tests clients that send invalid requests, no bytes, or far too many bytes.
 #include <doctest/doctest.h>
+#include <poll.h>
 
 #include <chrono>
 #include <thread>
@@ -81,6 +82,21 @@
   runner.Play("target a expect nothing 1");
 }
 
+TEST_CASE("HTTP front end: a body that came in time is not rejected because the loop is late to read it") {
+  constexpr int kLoopStallMs = 2'700;  // longer than the timeout of a request
+  constexpr std::size_t kFirstBytes = 20'000;
+  const std::string request = WriteRequest("Content-Length: 60000\r\n\r\n") + std::string(60'000, 'x');
+  ScenarioRunner runner(Protocol::kHttp);
+  Socket socket = Socket::Connect(runner.http_port());
+  REQUIRE(socket.Send(request.substr(0, kFirstBytes)));
+  poll(nullptr, 0, 50);  // the front end reads the first part
+  runner.StallLoop(kLoopStallMs);
+  REQUIRE(socket.Send(request.substr(kFirstBytes)));
+  HttpMessage response;
+  REQUIRE(ReadHttpMessage(socket, &response, kLoopStallMs + 2'000));
+  CHECK(response.Status() == "503");  // its deadline has passed in the meantime
+}
+
 TEST_CASE("HTTP front end: bytes that arrive slowly do not postpone the request timeout") {
   ScenarioRunner runner(Protocol::kHttp);
   Socket socket = Socket::Connect(runner.http_port());
--- a/tests/net/nbd_front_end_test.cpp
+++ b/tests/net/nbd_front_end_test.cpp
@@ -198,10 +198,7 @@
   Socket socket = NegotiatedConnection(runner);
   REQUIRE(socket.Send(command.substr(0, kFirstBytes)));
   poll(nullptr, 0, 50);  // the front end reads the first part
-  const timeval at_once{};
-  event_base_once(
-      runner.initiator().base(), -1, EV_TIMEOUT,
-      [](evutil_socket_t, short, void*) { poll(nullptr, 0, kLoopStallMs); }, nullptr, &at_once);
+  runner.StallLoop(kLoopStallMs);
   REQUIRE(socket.Send(command.substr(kFirstBytes)));
   CHECK(socket.Fill(kLoopStallMs + 2'000));
   CHECK(socket.open());
--- a/tests/net/scenario_runner.cpp
+++ b/tests/net/scenario_runner.cpp
@@ -129,6 +129,16 @@
   }
 }
 
+void ScenarioRunner::StallLoop(int ms) {
+  const timeval at_once{};
+  event_base_once(
+      initiator_->base(), -1, EV_TIMEOUT,
+      [](evutil_socket_t, short, void* stall_ms) {
+        poll(nullptr, 0, static_cast<int>(reinterpret_cast<std::intptr_t>(stall_ms)));
+      },
+      reinterpret_cast<void*>(static_cast<std::intptr_t>(ms)), &at_once);
+}
+
 bool ScenarioRunner::WaitForExit(int ms) {
   const Time until = core::Now() + FromMilliseconds(ms);
   while (!has_exited_ && core::Now() < until) {
--- a/tests/net/scenario_runner.h
+++ b/tests/net/scenario_runner.h
@@ -50,6 +50,8 @@
   void WriteDiscovery(const std::string& text, std::size_t chunk_size) { discovery_.Write(text, chunk_size); }
   // Stops the initiator and joins its thread.
   void Stop();
+  // Keeps the initiator's loop from running for `ms` milliseconds, from its next iteration on.
+  void StallLoop(int ms);
   // Returns whether the initiator's loop exits on its own within `ms` milliseconds.
   bool WaitForExit(int ms);
 
