Endpoint lease: a drain between two short outages of discovery is not missed

Cause, from the record: discovery refused connections, could be reached for 1.08 s and refused them again; a target drained in between. The process polled 56 ms before the return and 0.7 s after the second outage had begun. Two refused connections up to 3 s apart counted as proof that discovery had not been reachable between them, so the lease on the list from before the drain was renewed.

Change: after a refused connection, which costs discovery nothing, the next poll comes in 0.15 to 0.3 s (1 to 2 s before), so that a return of discovery is noticed; two proofs count together if they are at most 1.2 s apart (3 s), which the first poll after the end of a watch needs. Not excluded: a drain between the end of a watch and an outage that begins within 1 s, and a return for under 0.3 s.

--- a/src/decision/endpoint_lease.cpp
+++ b/src/decision/endpoint_lease.cpp
@@ -15,8 +15,10 @@
 // Maximum time between reading the clock and writing an attempt. The platform may pause an instance for
 // 0.15 s; another 0.05 s are for the path from the scheduler to the socket.
 constexpr Time kMaxWriteDelay = ToTime(std::chrono::milliseconds(200));
-// If two refused connections are at most this far apart, discovery was unreachable between them as well.
-constexpr Time kMaxUnreachableGap = ToTime(std::chrono::seconds(3));
+// If two refused connections, or the end of the watch and the first one, are at most this far apart,
+// discovery was unreachable between them as well. The first call comes up to 1 s after the end of the watch,
+// further ones come sooner (limits/poll_backoff).
+constexpr Time kMaxUnreachableGap = ToTime(std::chrono::milliseconds(1'200));
 
 }  // namespace
 
--- a/src/limits/poll_backoff.cpp
+++ b/src/limits/poll_backoff.cpp
@@ -21,8 +21,9 @@
 // A call that failed sooner than this was rejected at once; a call that failed later had waited in the
 // service's queue.
 constexpr Time kMinQueuedCallTime = ToTime(std::chrono::seconds(1));
-// Minimum delay after a call that found no listener; the maximum is kMaxDelayFloor.
-constexpr Time kMinUnreachableDelay = kMaxDelayFloor / 2;
+// Bounds of the delay after a call that found no listener. A service that returns for longer is noticed.
+constexpr Time kMinUnreachableDelay = ToTime(std::chrono::milliseconds(150));
+constexpr Time kMaxUnreachableDelay = ToTime(std::chrono::milliseconds(300));
 
 }  // namespace
 
@@ -43,7 +44,7 @@
 }
 
 Time PollBackoff::UnreachableDelay(double random) {
-  const Time jitter = kMaxDelayFloor - kMinUnreachableDelay;
+  const Time jitter = kMaxUnreachableDelay - kMinUnreachableDelay;
   return kMinUnreachableDelay + static_cast<Time>(random * static_cast<double>(jitter));
 }
 
--- a/tests/faults/endpoint_lease_test.cpp
+++ b/tests/faults/endpoint_lease_test.cpp
@@ -117,6 +117,31 @@
   fault_case.result = RunDrainDuring(fault_case.fault, fault_case.configured_instances);
 }
 
+// A target begins to drain while discovery can be reached for a time between two outages.
+struct GapCase {
+  Time gap = 0;  // us
+  std::vector<Violation> violations;
+};
+
+void RunGapCase(GapCase& gap_case) {
+  TestEnvironment testbed(Options(kLargeFleet));
+  testbed.StartAll();
+  testbed.RunFor(kSecond / 5);
+  testbed.StartAllClients();
+  testbed.RunFor(kSecond);
+  testbed.discovery().SetFault(DiscoveryFault::kRefusesConnections);
+  testbed.RunFor(5 * kSecond / 2);
+  testbed.discovery().SetFault(DiscoveryFault::kNone);
+  testbed.RunFor(gap_case.gap / 4);
+  testbed.SetEndpointState(kDrainedTarget, EndpointState::kDraining);
+  testbed.RunFor(3 * gap_case.gap / 4);
+  testbed.discovery().SetFault(DiscoveryFault::kRefusesConnections);
+  testbed.RunFor(9 * kSecond);
+  testbed.discovery().SetFault(DiscoveryFault::kNone);
+  StopClients(testbed);
+  gap_case.violations = FindViolations(testbed.record(), {});
+}
+
 }  // namespace
 
 TEST_CASE(
@@ -146,6 +171,18 @@
   }
 }
 
+TEST_CASE("Initiator: a drain in the short time between two outages of discovery is not missed") {
+  std::vector<GapCase> cases;
+  for (const Time gap : {kSecond / 2, 3 * kSecond / 4, kSecond, 3 * kSecond / 2}) {
+    cases.push_back({gap, {}});
+  }
+  RunAllConcurrently(cases, RunGapCase);
+  for (const GapCase& each : cases) {
+    CAPTURE(each.gap);
+    CHECK(DescribeFirst(each.violations) == "");
+  }
+}
+
 TEST_CASE("Initiator: an outdated list at the start is not used once the first discovery call has failed") {
   TestEnvironment testbed(Options(kLargeFleet));
   testbed.discovery().SetFault(DiscoveryFault::kTimesOut);
