Comments in plain technical English, and a long function split

Change: 23 comments reworded; TargetPool::OnReadable has ReadResponse beside it, ProcessControl::Apply has ApplyTermination.

--- a/src/app/graceful_shutdown.cpp
+++ b/src/app/graceful_shutdown.cpp
@@ -10,7 +10,7 @@
 namespace walnutspur::app {
 namespace {
 
-// Time for which new clients are accepted, us: the platform still routes them here for so long after SIGTERM.
+// Time for which new clients are accepted, us: the platform routes them here until then after SIGTERM.
 constexpr Time kAcceptDuration = 450'000;
 
 // Time between the deadline of the last responses and the stop of the event loop, us.
--- a/src/app/handover.h
+++ b/src/app/handover.h
@@ -33,7 +33,7 @@
   // Waits for the next process, also after one has ended. A failure is logged: then none can replace this
   // one.
   void Listen();
-  // Tells the process that was joined that this one serves clients; only the first call has an effect.
+  // Notifies the process that was joined that this one serves clients; only the first call has an effect.
   void AnnounceReady();
   // Passes on a cordon, or its end, that an operator has requested of this process.
   void SendCordon(const TargetId& target, bool cordoned);
--- a/src/app/platform.cpp
+++ b/src/app/platform.cpp
@@ -45,7 +45,7 @@
 }
 
 // The platform may add and remove classes without changing the list of those that write. A list of another
-// length does not tell which classes it is about.
+// length does not state which classes it is about.
 void ParseExtra(const json& extra, http::Config* config) {
   config->shards = extra.value("shards", 0);
   const auto writes = extra.value("changesData", std::vector<bool>());
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -83,7 +83,7 @@
   std::uint64_t call = 0;  // identifies the reply
   TargetId target;
   bool cordoned = true;
-  bool is_adopted = false;  // another process of this initiator was asked: the target may be unknown here
+  bool is_adopted = false;  // another process of this initiator had the call: the target may be unknown here
 };
 using Input = std::variant<RequestReceived, ClientClosed, DeadlineExpired, AttemptResult, EndpointsUpdated,
                            TimerExpired, HealthCheckResult, FleetResized, CordonRequested, SettingsChanged>;
--- a/src/decision/accounts.h
+++ b/src/decision/accounts.h
@@ -22,8 +22,8 @@
 void ChargeRequest(SchedulerState& state, RequestState& request, bool is_reserved, double start_tag,
                    TargetState& target);
 
-// Charges the units that the target reports as served for other instances: first to the reserve, the rest to
-// the flow.
+// Charges the units that the target reports as served for other instances: first to the reserve, the
+// remainder to the flow.
 void ChargeRemoteUnits(const SchedulerState& state, Flow& flow, const TargetState& target, double units);
 
 }  // namespace walnutspur::decision
--- a/src/decision/concurrency_limit.cpp
+++ b/src/decision/concurrency_limit.cpp
@@ -18,7 +18,7 @@
 // That fraction for reserved work, which earns the full weight.
 constexpr double kReservedQueueingFraction = 0.3;
 // That fraction if the limit is below one mean request. It is larger because queueing and uneven service
-// cannot be told apart when there is one response at a time.
+// cannot be distinguished when there is one response at a time.
 constexpr double kPacedQueueingFraction = 0.2;
 // Number of service times by which a response of a paced target may be slower without any queueing.
 constexpr double kServiceVariation = 2;
--- a/src/decision/cordon_table.cpp
+++ b/src/decision/cordon_table.cpp
@@ -68,7 +68,7 @@
     return EndpointUpdate{EndpointUpdateKind::kOverride, {}};
   }
   // Operators restart a target that they have taken out. A list that states no start since then is outdated,
-  // and without a slow start the cold target would be overloaded.
+  // and without a slow start the restarted target would be overloaded.
   EndpointUpdate update = ChangeOf(target, EndpointState::kActive);
   for (Endpoint& endpoint : update.endpoints) {
     if (endpoint.started_at - endpoint.clock_offset <= cordon->second) {
--- a/src/decision/idempotency.h
+++ b/src/decision/idempotency.h
@@ -2,7 +2,7 @@
 //
 // A request that may have run is sent again only if it is idempotent, or has an idempotency key and is sent
 // to a target that still drops its repeats. Any other request that may have run is neither sent again nor
-// rejected, since a rejection tells the client that it may repeat the request.
+// rejected, since a rejection states to the client that it may repeat the request.
 //
 // Inputs: the request's class (idempotency, deduplication scope and window, us), its possible effect (send
 // time, shard and zone of its first attempt that may have run), the time. Functions that read the
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -142,7 +142,7 @@
   }
   const std::size_t size = reader_.declared_body_bytes();
   if (size > kProtocolBodyBytes && !handler_->ReserveBody(*this, size)) {
-    close_after_response_ = true;  // the rest of the body follows
+    close_after_response_ = true;  // the remaining body follows
     Reject({kStatusUnavailable, "no memory for the body"});
     return;
   }
--- a/src/http/number.h
+++ b/src/http/number.h
@@ -13,7 +13,7 @@
 // Headers state times in seconds; Time is in microseconds.
 constexpr double kMicrosecondsPerSecond = 1e6;
 
-// Parses a number. Returns nullopt unless the whole text is a number.
+// Parses a number. Returns nullopt unless all of the text is a number.
 template <typename Number>
 std::optional<Number> ParseNumber(std::string_view text) {
   Number value{};
--- a/src/http/target_connection.h
+++ b/src/http/target_connection.h
@@ -68,7 +68,7 @@
   // kConnecting: being established for its attempt, of which nothing is written to the stream. kSpare: being
   // established although its attempt was abandoned. kSettling: connected; its attempt waits until no late
   // duplicate of the last response can arrive. kBusy: the attempt is written to the stream. kStreaming:
-  // without an attempt; the rest of its response is passed on. kIdle: connected, without an attempt.
+  // without an attempt; what follows of its response is passed on. kIdle: connected, without an attempt.
   enum class State { kConnecting, kSpare, kSettling, kBusy, kStreaming, kIdle };
 
   TargetConnection(event_base* base, std::uint64_t number, TargetId target, loop::StreamPtr stream,
--- a/src/http/target_pool.cpp
+++ b/src/http/target_pool.cpp
@@ -232,6 +232,10 @@
     MoveToNewConnection(connection);
     return;
   }
+  ReadResponse(connection);
+}
+
+void TargetPool::ReadResponse(TargetConnection& connection) {
   const MessageReader& response = connection.response();
   const auto keep_reading = [&] {
     const std::size_t size = response.declared_body_bytes();
@@ -301,7 +305,8 @@
   }
 }
 
-// Returns whether a response that was not read completely is successful, so that the rest can be passed on.
+// Returns whether a response that was not read completely is successful, so that what follows can be passed
+// on.
 bool TargetPool::ShouldStream(const TargetConnection& connection) const {
   const MessageReader& response = connection.response();
   const bool is_health_check = connection.attempt()->key.request == kHealthCheckRequest;
@@ -309,7 +314,7 @@
          connection.IsRequestSent();
 }
 
-// Completes the attempt with the first bytes of its response, and passes the rest on while it arrives.
+// Completes the attempt with the first bytes of its response, and passes on what follows while it arrives.
 void TargetPool::BeginStream(TargetConnection& connection) {
   const MessageReader& message = connection.response();
   const HeaderLookup header = [&message](const char* name) { return message.Find(name); };
--- a/src/http/target_pool.h
+++ b/src/http/target_pool.h
@@ -73,6 +73,8 @@
   void MoveToNewConnection(TargetConnection& from);
   void Abandon(TargetConnection& connection, Outcome outcome);
   void Fail(TargetConnection& connection, Outcome outcome);
+  // Parses the input of a connection whose attempt awaits its response.
+  void ReadResponse(TargetConnection& connection);
   void OnResponse(TargetConnection& connection);
   bool ShouldStream(const TargetConnection& connection) const;
   void BeginStream(TargetConnection& connection);
--- a/src/lab/fakes/discovery_service.h
+++ b/src/lab/fakes/discovery_service.h
@@ -1,6 +1,6 @@
 // Fake of the platform's discovery service: responds to each watch with the complete endpoint list, then
 // writes a line for each change and an empty line as heartbeat. Fails on demand. Each client, an initiator,
-// has its own port, so that an observer can tell which lists were written to which client.
+// has its own port, so that an observer knows which lists were written to which client.
 //
 // Owned by a test environment; runs on the thread of its event loop. DiscoveryThread runs the service on a
 // thread of its own; the fake in tests/net/discovery_server.h follows the steps of a scenario instead.
--- a/src/lab/soak/evidence.cpp
+++ b/src/lab/soak/evidence.cpp
@@ -82,7 +82,7 @@
 
 std::string WriteEvidence(const std::string& parent, const SoakPlan& plan, const SoakResult& result) {
   const std::string name = (plan.is_extended ? "extended-seed-" : "seed-") + std::to_string(plan.seed);
-  const std::string folder = parent + "/" + name;
+  std::string folder = parent + "/" + name;
   std::filesystem::create_directories(folder);
   std::ofstream summary(folder + "/summary.txt");
   WriteSummary(plan, result, &summary);
--- a/src/lab/soak/process_control.cpp
+++ b/src/lab/soak/process_control.cpp
@@ -31,7 +31,6 @@
 
 void ProcessControl::Apply(const FaultEvent& event) {
   const int process = event.process;
-  const auto terminate = [this, process] { TerminateThenKill(process); };
   switch (event.kind) {
     case FaultEventKind::kPause:
       Pause(process, event.duration);
@@ -39,40 +38,51 @@
     case FaultEventKind::kReload:
       environment_->Reload(process);
       break;
-    case FaultEventKind::kTerminate:
-      Terminate(process, terminate);
+    case FaultEventKind::kReloadSeries:
+      ReloadInSeries(process);
       break;
     case FaultEventKind::kKill:
-      KillAndRestart(process);
+      StopUnlessBusy(process, [this, process] { Restart(process); });
       break;
-    case FaultEventKind::kReloadSeries:
-      ReloadInSeries(process);
+    case FaultEventKind::kTerminateAll:
+      TerminateAll();
+      break;
+    default:
+      ApplyTermination(event);
+      break;
+  }
+}
+
+// Applies an event that sends SIGTERM to one process.
+void ProcessControl::ApplyTermination(const FaultEvent& event) {
+  const int process = event.process;
+  const auto terminate = [this, process] { TerminateThenKill(process); };
+  switch (event.kind) {
+    case FaultEventKind::kTerminate:
+      StopUnlessBusy(process, terminate);
       break;
     case FaultEventKind::kReloadTerminate:
       environment_->Reload(process);
-      Terminate(process, terminate);
+      StopUnlessBusy(process, terminate);
       break;
     case FaultEventKind::kTerminateReload:
-      Terminate(process, terminate);
+      StopUnlessBusy(process, terminate);
       environment_->Reload(process);
       break;
     case FaultEventKind::kTerminateTwice:
-      Terminate(process, [this, process, &event] {
+      StopUnlessBusy(process, [&] {
         TerminateThenKill(process);
         SignalAfter(event.duration, process, SIGTERM);
       });
       break;
     case FaultEventKind::kTerminatePaused:
-      Terminate(process, [this, process, &event] {
+      StopUnlessBusy(process, [&] {
         Pause(process, event.duration);
         TerminateThenKill(process);
       });
       break;
     case FaultEventKind::kTerminateRestart:
-      Terminate(process, [this, process, &event] { TerminateThenRestart(process, event.duration); });
-      break;
-    case FaultEventKind::kTerminateAll:
-      TerminateAll();
+      StopUnlessBusy(process, [&] { TerminateThenRestart(process, event.duration); });
       break;
     default:
       break;
@@ -91,7 +101,7 @@
 }
 
 // Calls `stop`, which stops and restarts the process, unless the process is busy.
-void ProcessControl::Terminate(int process, const std::function<void()>& stop) {
+void ProcessControl::StopUnlessBusy(int process, const std::function<void()>& stop) {
   if (!IsBusy(process)) {
     busy_[process] = true;
     stop();
@@ -101,7 +111,7 @@
 void ProcessControl::TerminateAll() {
   for (int process = 0; process < plan_.processes; ++process) {
     environment_->After(process * kTerminationInterval, [this, process] {
-      Terminate(process, [this, process] { TerminateThenKill(process); });
+      StopUnlessBusy(process, [this, process] { TerminateThenKill(process); });
     });
   }
 }
@@ -130,10 +140,6 @@
   busy_[process] = false;
 }
 
-void ProcessControl::KillAndRestart(int process) {
-  Terminate(process, [this, process] { Restart(process); });
-}
-
 void ProcessControl::Restart(int process) {
   environment_->Kill(process);
   environment_->After(kRestartDelay, [this, process] {
--- a/src/lab/soak/process_control.h
+++ b/src/lab/soak/process_control.h
@@ -26,12 +26,12 @@
  private:
   void Pause(int process, Time duration);
   void ReloadInSeries(int process);
-  void Terminate(int process, const std::function<void()>& stop);
+  void ApplyTermination(const FaultEvent& event);
+  void StopUnlessBusy(int process, const std::function<void()>& stop);
   void TerminateAll();
   void TerminateThenKill(int process);
   void TerminateThenRestart(int process, Time second_signal_after);
   void RestartOnExit(int process, Time kill_at);
-  void KillAndRestart(int process);
   void Restart(int process);
   void SignalAfter(Time delay, int process, int number);
   Time KillDelay() const;
--- a/src/limits/decaying_counter.h
+++ b/src/limits/decaying_counter.h
@@ -10,7 +10,7 @@
 
 namespace walnutspur::limits {
 
-// Maximum exponent of a decay; beyond it the rest of the sum is negligible.
+// Maximum exponent of a decay; beyond it the remaining sum is negligible.
 constexpr double kMaxDecay = 20.0;
 
 // A decaying sum. Times passed to it never decrease.
--- a/src/limits/latency_estimate.h
+++ b/src/limits/latency_estimate.h
@@ -1,7 +1,8 @@
 // Estimates the latency of one target from the latencies of its completed attempts.
 //
 // Splits a latency into the service time, which is assumed to be proportional to the request's units, and the
-// queueing delay, which is the rest. No I/O, clock or thread; owned by the scheduler's record of the target.
+// queueing delay, which is the remainder. No I/O, clock or thread; owned by the scheduler's record of the
+// target.
 #ifndef WALNUTSPUR_LIMITS_LATENCY_ESTIMATE_H_
 #define WALNUTSPUR_LIMITS_LATENCY_ESTIMATE_H_
 
--- a/src/limits/recent_ids.h
+++ b/src/limits/recent_ids.h
@@ -1,6 +1,6 @@
 // A set of ids of bounded size: beyond it the id that was added first is forgotten.
 //
-// Without the bound, a process that runs for years would remember every target that it has ever been told of.
+// Without the bound, a process that runs for years would remember every target that was ever listed.
 // No I/O, clock or thread; owned by the records that use it.
 #ifndef WALNUTSPUR_LIMITS_RECENT_IDS_H_
 #define WALNUTSPUR_LIMITS_RECENT_IDS_H_
--- a/src/loop/peer.h
+++ b/src/loop/peer.h
@@ -23,7 +23,7 @@
 bool HasUnreadBytes(evutil_socket_t fd);
 
 // Returns the time since the kernel received the last bytes from the peer, us, whether or not they have been
-// read. Returns 0 for less than two ticks of the kernel's clock, and if the kernel does not tell.
+// read. Returns 0 for less than two ticks of the kernel's clock, and if the kernel does not report it.
 Time TimeSinceLastInput(evutil_socket_t fd);
 
 }  // namespace walnutspur::loop
--- a/src/nbd/client_connection.h
+++ b/src/nbd/client_connection.h
@@ -26,7 +26,7 @@
   kClientClosed,      // the client closed it, or left as the protocol has it
   kConnectionFailed,  // a read or a write failed
   kHandshakeTimeout,  // the client did not complete the handshake, or did not read its last replies
-  kCommandTimeout,    // the client did not send the rest of a command
+  kCommandTimeout,    // the client did not complete a command
   kProtocolError,     // the client violated the protocol
   kEvicted,           // for a new connection; its client had sent no command
 };
@@ -102,7 +102,7 @@
   bool command_timer_runs_ = false;    // true while a command is incomplete
   bool timeout_extended_ = false;      // the running timer was extended to read what had arrived
   bool write_closed_ = false;          // shut down for writing; input is discarded
-  loop::EventHandle command_timer_;    // limits the time to receive a whole command
+  loop::EventHandle command_timer_;    // limits the time to receive a complete command
   loop::StreamPtr stream_;
 };
 
--- a/src/nbd/codec.h
+++ b/src/nbd/codec.h
@@ -1,4 +1,4 @@
-// Includes the whole NBD codec, which implements both sides of the protocol without sockets. Each header can
+// Includes all of the NBD codec, which implements both sides of the protocol without sockets. Each header can
 // also be included by itself:
 //   protocol.h        constants, and messages as plain data
 //   byte_buffer.h     integers in network byte order, and a buffer of received bytes
--- a/src/nbd/protocol.h
+++ b/src/nbd/protocol.h
@@ -137,7 +137,7 @@
 struct Reply {
   std::uint64_t cookie = 0;
   Error error = kOk;
-  std::vector<Piece> pieces;                 // of a read: the whole range in order; empty in case of an error
+  std::vector<Piece> pieces;  // of a read: the complete range in order; empty in case of an error
   std::vector<std::uint64_t> error_offsets;  // offsets for which the server reported errors
   std::vector<Piece> partial;                // data received along with an error
 };
--- a/src/nbd/reply_assembler.h
+++ b/src/nbd/reply_assembler.h
@@ -27,7 +27,7 @@
   bool Add(std::uint16_t chunk_type, std::string_view data);
 
   // Returns the reply; must be called after the last chunk has been added. If the chunks do not cover the
-  // whole range of a read, the reply is an error.
+  // complete range of a read, the reply is an error.
   Reply Finish(std::uint64_t cookie);
 
  private:
--- a/tests/lab/load_client_test.cpp
+++ b/tests/lab/load_client_test.cpp
@@ -94,7 +94,7 @@
     const Socket server = fixture.AcceptFirstRequest();
     poll(nullptr, 0, stall_ms);
     fixture.RunUntil(fixture.first_request().sent_at + kDeadline + kGrace + 50 * kMillisecond +
-                     2 * stall_ms * kMillisecond);
+                     2 * Time{stall_ms} * kMillisecond);
     CHECK(fixture.first_request().result == ClientResult::kNoResponse);
   }
 }
