--- a/src/lab/commands/soak.cpp
+++ b/src/lab/commands/soak.cpp
@@ -145,7 +145,7 @@
   cli->add_flag("--extended", options->is_extended,
                 "Add crowds of clients and signals in series to the plans");
   cli->add_option(
-      "--evidence", options->evidence_folder,
+      "--evidence,--logs", options->evidence_folder,
       "Write plan, record, load and process logs of runs that violate an invariant below this folder");
   cli->add_flag("--shrink", options->shrinks,
                 "Shrink a plan that violates an invariant: remove faults as long as it still does");
