Soak test: a request after the end of its connection is told from one before, on sockets

Cause: the excuse for requests written after a kill was tested on records only. The new case forces both orders on sockets: the server's end of the connection closes before the client's loop sees that it is up, or after the request was written.

--- a/tests/lab/load_client_test.cpp
+++ b/tests/lab/load_client_test.cpp
@@ -50,6 +50,14 @@
     client_->Stop();
     return server;
   }
+  // Runs the loop until the kernel has established the client's connection, before the client has seen that.
+  Socket AcceptBeforeRequest() {
+    while (!listener_.Readable(0)) {
+      event_base_loop(base_.get(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+    }
+    client_->Stop();
+    return listener_.Accept();
+  }
   void RunUntil(Time end) {
     while (core::Now() < end) {
       event_base_loop(base_.get(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
@@ -99,6 +107,23 @@
   }
 }
 
+TEST_CASE(
+    "LoadClient: a request on a connection that had ended before is told from one that its server had") {
+  for (const bool ends_before : {true, false}) {
+    CAPTURE(ends_before);
+    ClientFixture fixture;
+    Socket server = fixture.AcceptBeforeRequest();
+    if (ends_before) {
+      server.Close();  // as the kernel does for a process that is killed
+    }
+    fixture.RunUntil(core::Now() + 50 * kMillisecond);
+    server.Close();
+    fixture.RunUntil(core::Now() + 50 * kMillisecond);
+    CHECK(fixture.first_request().result == ClientResult::kNoResponse);
+    CHECK(fixture.first_request().connection_had_ended == ends_before);
+  }
+}
+
 TEST_CASE("LoadClient: the disconnect of a client reaches the process when it is recorded") {
   ClientFixture fixture(1);
   Socket server = fixture.AcceptFirstRequest();
