--- a/review/build.sh
+++ b/review/build.sh
@@ -3,8 +3,7 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p build/review
-for number in 1 2 3; do
-  if [ -f "review/$number/case.cpp" ]; then
-    "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread "review/$number/case.cpp" -o "build/review/case-$number"
-  fi
+for source in review/[0-9]/case.cpp; do
+  number=$(basename "$(dirname "$source")")
+  "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread "$source" -o "build/review/case-$number"
 done
