--- a/review/common/http_lab.h
+++ b/review/common/http_lab.h
@@ -141,15 +141,21 @@
   int listener_ = -1;
 };
 
+// Returns the id of a client's request.
+inline std::string RequestId(std::uint64_t number) {
+  char id[32];
+  std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(0x9b1f000000000000ULL + number));
+  return id;
+}
+
 // Returns a request of a client; `number` makes its id and its piece of data.
 inline std::string FormatRequest(const std::string& method, const std::string& request_class, std::uint64_t number,
                                  const std::string& deadline_s, const std::string& body) {
-  char id[32];
-  std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(0x9b1f000000000000ULL + number));
   char key[32];
   std::snprintf(key, sizeof key, "%016llx", static_cast<unsigned long long>(0x7f3a000000000000ULL + number));
-  std::string text = method + " /api/00000003b4d60021/" + key + " HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: " +
-                     id + "\r\nX-Class: " + request_class + "\r\nX-Plan: grade-a\r\nX-Deadline: " + deadline_s +
+  std::string text = method + " /api/00000003b4d60021/" + key +
+                     " HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: " + RequestId(number) +
+                     "\r\nX-Class: " + request_class + "\r\nX-Plan: grade-a\r\nX-Deadline: " + deadline_s +
                      "\r\nX-IO: units=1,shard=3,hosts=1\r\n";
   if (method == "PUT") {
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
--- a/review/common/nbd_lab.h
+++ b/review/common/nbd_lab.h
@@ -21,7 +21,8 @@
          "\"\nunit_bytes = " + std::to_string(settings.unit_bytes) + "\n[commands]\nread = \"" + settings.read_class +
          "\"\nwrite = \"" + settings.write_class + "\"\nflush = \"" + settings.write_class +
          "\"\n[[box]]\nid = \"s-5be2a07c\"\naddress = \"127.0.0.1:" + std::to_string(settings.box_port) +
-         "\"\n[[export]]\nname = \"volume-a\"\nvolume = \"00000003b4d60021\"\nplan = \"grade-a\"\nshard = 3\nhosts = 1\n"
+         "\"\n[[export]]\nname = \"volume-a\"\nvolume = \"00000003b4d60021\"\nplan = \"grade-a\"\nshard = 3\nhosts = "
+         "1\n"
          "box = \"s-5be2a07c\"\nremote = \"volume-a\"\nsize = " +
          std::to_string(settings.size) + "\n";
 }
