--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -10,7 +10,7 @@
 constexpr std::uint64_t kSize = 64ULL << 20;
 constexpr int kRounds = 6;
 constexpr int kWrites = 4;                   // at a time
-constexpr std::int64_t kStillMs = 215;       // the pages: a box stands still for 94 to 220 ms
+constexpr std::int64_t kStillMs = 218;       // the pages: a box stands still for 94 to 220 ms
 constexpr std::int64_t kBetweenMs = 3'500;   // every 3.3 to 8.4 s
 constexpr int kBoxReceiveBuffer = 64 << 10;  // bytes
 constexpr int kSegmentBytes = 1'400;         // of an ordinary link; the loopback's would be 64 KiB
@@ -101,11 +101,14 @@
   nbd.listen_port = FreePort();
   nbd.size = kSize;
   nbd.unit_bytes = kBlock;
+  nbd.read_class = "schedule-export";
+  nbd.write_class = "new-booking";
   const int port = FreePort();
   const std::string config = temporary + "/config.json";
   WriteFile(temporary + "/nbd.toml", FormatNbd(nbd));
   WriteConfig(config, port, discovery.port(),
-              Settings({{"read", 750'000, 2'500'000, "safe", false}, {"write", 120'000, 1'200'000, "unsafe", true}}));
+              Settings({{"schedule-export", 750'000, 2'500'000, "safe", false},
+                        {"new-booking", 200'000, 1'200'000, "unsafe", true}}));
   StartProcess(root, DeployCommand(root, "run") + " --nbd " + temporary + "/nbd.toml",
                {{"BALANCER_CONFIG", config}, {"TMPDIR", temporary}}, temporary + "/log");
   if (!WaitReady(port, 30'000)) {
