HTTP client connection: its timeouts are a struct that a test can set

ClientTimeouts takes the place of five constants; the front end uses the defaults, which are the values as they were.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -8,9 +8,7 @@
 namespace walnutspur::http {
 namespace {
 
-// A request's head must be complete within this time (us) from its first byte; the first one, from
-// connecting. After that, at least kMinBodyBytes of its body must arrive in each such period.
-constexpr Time kRequestTimeout = 2'500'000;
+// Minimum number of bytes of a request's body that must arrive in each ClientTimeouts::request.
 constexpr std::size_t kMinBodyBytes = 40'000;
 
 // Time in which the loop reads what has arrived before that timeout, us.
@@ -19,17 +17,6 @@
 // Maximum number of bytes of a streamed response that the client has not read.
 constexpr std::size_t kMaxUnwrittenBytes = 32 << 10;
 
-// Idle time (us) after which a connection is closed. It is shorter after the first request because many
-// clients send only one.
-constexpr Time kIdleTimeout = 20'000'000;
-constexpr Time kIdleTimeoutAfterFirstRequest = 2'000'000;
-
-// Maximum time that a client may take to read a response, us.
-constexpr Time kWriteTimeout = 10'000'000;
-
-// Time that a client has to close the connection itself after its last response, us.
-constexpr Time kLingerTimeout = 500'000;
-
 // Pause in reading after a rejected request, us.
 constexpr Time kRejectPause = 50'000;
 
@@ -49,9 +36,10 @@
 // Each timer limits a wait that a client could otherwise extend indefinitely.
 ClientConnection::ClientConnection(event_base* base, std::uint64_t number, loop::StreamPtr stream,
                                    ClientConnectionHandler* handler,
-                                   const frontend::ShutdownSequence& shutdown)
+                                   const frontend::ShutdownSequence& shutdown, const ClientTimeouts& timeouts)
     : handler_(handler),
       shutdown_(shutdown),
+      timeouts_(timeouts),
       number_(number),
       last_active_(core::Now()),
       request_timeout_(loop::MakeTimer(base, [this] { OnRequestTimeout(); })),
@@ -64,7 +52,7 @@
                                   })),
       linger_timeout_(loop::MakeTimer(base, [this] { handler_->Close(*this); })),
       stream_(std::move(stream)) {
-  request_timeout_.Start(kRequestTimeout);  // input does not restart it
+  request_timeout_.Start(timeouts_.request);  // input does not restart it
   loop::SetCallbacks(stream_.get(), this);
   bufferevent_setwatermark(stream_.get(), EV_READ, 0, kMaxReadAhead);
 }
@@ -111,7 +99,7 @@
     return false;
   }
   if (!reader_.started() && requests_read_ > 0) {
-    request_timeout_.Start(kRequestTimeout);
+    request_timeout_.Start(timeouts_.request);
   }
   idle_timeout_.Stop();
   loop::DrainInput(stream_.get(), reader_.Feed(chunk));
@@ -125,7 +113,7 @@
   if (is_head_read_ && received >= body_bytes_checked_ + kMinBodyBytes) {
     body_bytes_checked_ = received;
     timeout_extended_ = false;
-    request_timeout_.Start(kRequestTimeout);
+    request_timeout_.Start(timeouts_.request);
     return;
   }
   // If bytes wait unread, the loop may be late and the client not: it is given time to read them, once.
@@ -138,7 +126,7 @@
 
 void ClientConnection::OnRequestProgress() {
   if (reader_.head_complete() && !std::exchange(is_head_read_, true)) {
-    request_timeout_.Start(kRequestTimeout);
+    request_timeout_.Start(timeouts_.request);
   }
   const std::size_t size = reader_.declared_body_bytes();
   if (size > kProtocolBodyBytes && !handler_->ReserveBody(*this, size)) {
@@ -246,7 +234,7 @@
 }
 
 void ClientConnection::WritePart(std::string_view bytes) {
-  write_timeout_.Start(kWriteTimeout);
+  write_timeout_.Start(timeouts_.write);
   if (has_chunked_body_) {
     loop::Write(stream_.get(), FormatChunk(bytes));
   } else {
@@ -270,13 +258,13 @@
   last_active_ = core::Now();
   if (close_after_response_) {
     closing_ = true;
-    linger_timeout_.Start(kLingerTimeout);
+    linger_timeout_.Start(timeouts_.linger);
   } else if (!shutdown_.is_scheduled()) {
-    idle_timeout_.Start(requests_read_ > 1 ? kIdleTimeout : kIdleTimeoutAfterFirstRequest);
+    idle_timeout_.Start(requests_read_ > 1 ? timeouts_.idle : timeouts_.idle_after_first_request);
   }
   // All bytes of a streamed body may have been written before its end was known.
   if (loop::UnwrittenBytes(stream_.get()) > 0) {
-    write_timeout_.Start(kWriteTimeout);
+    write_timeout_.Start(timeouts_.write);
   } else if (closing_) {
     loop::ShutdownWrites(stream_.get());
   }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -40,11 +40,26 @@
   ~ClientConnectionHandler() = default;
 };
 
+// Limits of how long a client may take for each phase of its connection, us.
+struct ClientTimeouts {
+  // From a request's first byte to the end of its head; for the first request, from connecting. After that,
+  // a minimum of its body must arrive in each such period.
+  Time request = 2'500'000;
+  // Without a request. Shorter after the first one, because many clients send only one.
+  Time idle = 20'000'000;
+  Time idle_after_first_request = 2'000'000;
+  // To read a response.
+  Time write = 10'000'000;
+  // To close the connection itself after its last response.
+  Time linger = 500'000;
+};
+
 class ClientConnection {
  public:
   // `handler` and `shutdown` must outlive the connection. Call Enable to start reading.
   ClientConnection(event_base* base, std::uint64_t number, loop::StreamPtr stream,
-                   ClientConnectionHandler* handler, const frontend::ShutdownSequence& shutdown);
+                   ClientConnectionHandler* handler, const frontend::ShutdownSequence& shutdown,
+                   const ClientTimeouts& timeouts = {});
   ~ClientConnection();
   ClientConnection(const ClientConnection&) = delete;
   ClientConnection& operator=(const ClientConnection&) = delete;
@@ -117,6 +132,7 @@
 
   ClientConnectionHandler* handler_;
   const frontend::ShutdownSequence& shutdown_;
+  ClientTimeouts timeouts_;
   std::uint64_t number_;
   MessageReader reader_{MessageReader::Kind::kRequest, kMaxRequestBodyBytes};
   core::RequestNumber pending_request_ = 0;
