HTTP: what follows a response begins when it is written, not when it is buffered

Cause: EndResponse runs when the last byte has entered the stream's output buffer, of which up to 64 KiB may not be written yet. It started the linger timeout (0.5 s) or the idle timeout (2 s), whose callback frees the stream with its output. For the same reason such a connection was the first to be evicted, and ShutDown ended the stream before the response.

Change: OnResponseWritten begins these waits, from OnWritten or, if nothing is left, at once. Until then the write timeout alone limits the client, eviction spares the connection, and ShutDown waits. So no path closes a connection for having had its response while bytes of it are unwritten.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -172,15 +172,26 @@
   return false;
 }
 
-// Handles a completely written response; the last one closes the connection.
 void ClientConnection::OnWritten() {
   write_timeout_.Stop();
   if (body_) {
     PassOnBody();
     return;
   }
+  if (std::exchange(has_unwritten_response_, false)) {
+    OnResponseWritten();
+  }
+}
+
+// Begins the wait that follows a response. Before all of it is written, a client that reads slowly would lose
+// its end when the wait is over. The next request may have begun in the meantime.
+void ClientConnection::OnResponseWritten() {
+  last_active_ = core::Now();
   if (closing_) {
     loop::ShutdownWrites(stream_.get());
+    linger_timeout_.Start(timeouts_.linger);
+  } else if (!shutdown_.is_scheduled() && !is_responding() && !reader_.started()) {
+    idle_timeout_.Start(requests_read_ > 1 ? timeouts_.idle : timeouts_.idle_after_first_request);
   }
 }
 
@@ -256,17 +267,13 @@
 
 void ClientConnection::EndResponse() {
   last_active_ = core::Now();
-  if (close_after_response_) {
-    closing_ = true;
-    linger_timeout_.Start(timeouts_.linger);
-  } else if (!shutdown_.is_scheduled()) {
-    idle_timeout_.Start(requests_read_ > 1 ? timeouts_.idle : timeouts_.idle_after_first_request);
-  }
+  closing_ = closing_ || close_after_response_;
   // All bytes of a streamed body may have been written before its end was known.
-  if (loop::UnwrittenBytes(stream_.get()) > 0) {
+  has_unwritten_response_ = loop::UnwrittenBytes(stream_.get()) > 0;
+  if (has_unwritten_response_) {
     write_timeout_.Start(timeouts_.write);
-  } else if (closing_) {
-    loop::ShutdownWrites(stream_.get());
+  } else {
+    OnResponseWritten();
   }
 }
 
@@ -286,7 +293,11 @@
 void ClientConnection::ShutDown() {
   closing_ = true;
   request_timeout_.Stop();
-  loop::ShutdownWrites(stream_.get());
+  if (loop::UnwrittenBytes(stream_.get()) > 0) {
+    has_unwritten_response_ = true;  // the client gets its end before the shutdown
+  } else {
+    loop::ShutdownWrites(stream_.get());
+  }
 }
 
 void ClientConnection::ClearPendingRequest() {
@@ -320,6 +331,9 @@
 }
 
 frontend::EvictionRank ClientConnection::eviction_rank() const {
+  if (has_unwritten_response_ && requests_read_ > 0) {
+    return frontend::EvictionRank::kInUse;
+  }
   if (closing_) {
     return frontend::EvictionRank::kClosing;
   }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -45,12 +45,13 @@
   // From a request's first byte to the end of its head; for the first request, from connecting. After that,
   // a minimum of its body must arrive in each such period.
   Time request = 2'500'000;
-  // Without a request. Shorter after the first one, because many clients send only one.
+  // Without a request, after the last response was written. Shorter after the first one, because many clients
+  // send only one.
   Time idle = 20'000'000;
   Time idle_after_first_request = 2'000'000;
   // To read a response.
   Time write = 10'000'000;
-  // To close the connection itself after its last response.
+  // To close the connection itself after its last response was written.
   Time linger = 500'000;
 };
 
@@ -84,8 +85,9 @@
   void Reject(const Rejection& rejection);
   // Resumes reading after a response, starting with the input that the client has pipelined.
   void ResumeReading();
-  // Shuts down writing and reads until the client closes the connection. Closing it with unread bytes would
-  // reset it, and a client that has just sent a request would see the reset.
+  // Shuts down writing, after what is left of a response, and reads until the client closes the connection.
+  // Closing it with unread bytes would reset it, and a client that has just sent a request would see the
+  // reset.
   void ShutDown();
   void StopIdleTimeout() { idle_timeout_.Stop(); }
 
@@ -123,9 +125,11 @@
   void OnRequestTimeout();
   // Returns whether a request has no complete response yet.
   bool is_responding() const { return pending_request_ != 0 || body_ != nullptr; }
-  // The steps of a response before its head is written, and after its last byte.
+  // The steps of a response before its head is passed to the stream, after its last byte is, and when all of
+  // it is written.
   void BeginResponse();
   void EndResponse();
+  void OnResponseWritten();
   // Writes what has arrived of a streamed body, as far as the client reads it.
   void PassOnBody();
   void WritePart(std::string_view bytes);
@@ -136,23 +140,24 @@
   std::uint64_t number_;
   MessageReader reader_{MessageReader::Kind::kRequest, kMaxRequestBodyBytes};
   core::RequestNumber pending_request_ = 0;
-  Time last_active_;                    // when the last response was sent, or else when the client connected
-  std::uint64_t requests_read_ = 0;     // complete requests
-  bool is_head_read_ = false;           // of the current request
-  bool timeout_extended_ = false;       // the request's timeout was extended to read what had arrived
-  std::size_t body_bytes_checked_ = 0;  // of the current request, at the last check of its progress
-  std::shared_ptr<BodyStream> body_;    // of the response that is being passed on; null: none
-  bool has_chunked_body_ = false;       // body_ is written in chunks
-  Time time_in_backlog_ = 0;            // of the first request, us
-  bool continue_sent_ = false;          // "100 Continue" was sent for the current request
-  bool close_after_response_ = false;   // the connection is closed after the next response
-  bool closing_ = false;                // writing is shut down, or will be soon; further input is discarded
-  std::size_t discarded_bytes_ = 0;     // input that belongs to no served request
-  loop::EventHandle request_timeout_;   // from a request's first byte, or from connecting, to its last byte
-  loop::EventHandle idle_timeout_;      // while there is no request
-  loop::EventHandle write_timeout_;     // limits how long the client may take to read a response
-  loop::EventHandle read_pause_;        // after a rejected request
-  loop::EventHandle linger_timeout_;    // after the last response, to let the client close first
+  Time last_active_;                     // when the last response was sent, or else when the client connected
+  std::uint64_t requests_read_ = 0;      // complete requests
+  bool is_head_read_ = false;            // of the current request
+  bool timeout_extended_ = false;        // the request's timeout was extended to read what had arrived
+  std::size_t body_bytes_checked_ = 0;   // of the current request, at the last check of its progress
+  std::shared_ptr<BodyStream> body_;     // of the response that is being passed on; null: none
+  bool has_chunked_body_ = false;        // body_ is written in chunks
+  Time time_in_backlog_ = 0;             // of the first request, us
+  bool continue_sent_ = false;           // "100 Continue" was sent for the current request
+  bool close_after_response_ = false;    // the connection is closed after the next response
+  bool closing_ = false;                 // writing is shut down, or will be soon; further input is discarded
+  bool has_unwritten_response_ = false;  // the last response is complete, and part of it is in the stream
+  std::size_t discarded_bytes_ = 0;      // input that belongs to no served request
+  loop::EventHandle request_timeout_;    // from a request's first byte, or from connecting, to its last byte
+  loop::EventHandle idle_timeout_;       // while there is no request, and the last response is written
+  loop::EventHandle write_timeout_;      // limits how long the client may take to read a response
+  loop::EventHandle read_pause_;         // after a rejected request
+  loop::EventHandle linger_timeout_;     // after the last response, to let the client close first
   loop::StreamPtr stream_;
 };
 
