HTTP: a client that reads on may take longer than 10 s for a response

Callers: a response of 1 MiB that is not streamed (with digests), read at the permitted 64 kB a second, takes 16 s; the write timeout ended the connection after 10 s.

Cause: the timeout was one for the whole of what was unwritten, and restarted only when more was written.

Change: when it is over, the client must have acknowledged 100 kB since it started (the kernel's unacknowledged bytes and the stream's unwritten ones); then it starts again. A client that reads less than 10 kB a second is disconnected as before.

Evidence: tests/net/client_connection_test.cpp, "a client that reads on may take longer than the write timeout", failed with the timer's former callback and passes; a client that does not read is still ended.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -11,7 +11,7 @@
 // Minimum number of bytes of a request's body that must arrive in each ClientTimeouts::request.
 constexpr std::size_t kMinBodyBytes = 40'000;
 
-// Time in which the loop reads what has arrived before that timeout, us.
+// Time in which the loop reads what has arrived before the request's timeout, us.
 constexpr Time kUnreadInputTime = 100'000;
 
 // Maximum number of bytes of a streamed response that the client has not read.
@@ -44,7 +44,7 @@
       last_active_(core::Now()),
       request_timeout_(loop::MakeTimer(base, [this] { OnRequestTimeout(); })),
       idle_timeout_(loop::MakeTimer(base, [this] { handler_->Close(*this); })),
-      write_timeout_(loop::MakeTimer(base, [this] { handler_->Close(*this); })),
+      write_timeout_(loop::MakeTimer(base, [this] { OnWriteTimeout(); })),
       read_pause_(loop::MakeTimer(base,
                                   [this] {
                                     bufferevent_enable(stream_.get(), EV_READ);
@@ -245,12 +245,32 @@
 }
 
 void ClientConnection::WritePart(std::string_view bytes) {
-  write_timeout_.Start(timeouts_.write);
   if (has_chunked_body_) {
     loop::Write(stream_.get(), FormatChunk(bytes));
   } else {
     loop::Write(stream_.get(), bytes);
   }
+  StartWriteTimeout();
+}
+
+void ClientConnection::StartWriteTimeout() {
+  unread_bytes_checked_ = UnreadByClient();
+  write_timeout_.Start(timeouts_.write);
+}
+
+// A large response may take longer than the timeout, and the socket may take no bytes for as long although
+// the client reads, since the kernel reports room only once a third of a full buffer is free.
+void ClientConnection::OnWriteTimeout() {
+  if (UnreadByClient() + timeouts_.min_read_bytes <= unread_bytes_checked_) {
+    StartWriteTimeout();
+  } else {
+    handler_->Close(*this);
+  }
+}
+
+std::size_t ClientConnection::UnreadByClient() const {
+  const evutil_socket_t fd = bufferevent_getfd(stream_.get());
+  return loop::UnwrittenBytes(stream_.get()) + loop::UnacknowledgedBytes(fd);
 }
 
 void ClientConnection::BeginResponse() {
@@ -271,7 +291,7 @@
   // All bytes of a streamed body may have been written before its end was known.
   has_unwritten_response_ = loop::UnwrittenBytes(stream_.get()) > 0;
   if (has_unwritten_response_) {
-    write_timeout_.Start(timeouts_.write);
+    StartWriteTimeout();
   } else {
     OnResponseWritten();
   }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -40,7 +40,7 @@
   ~ClientConnectionHandler() = default;
 };
 
-// Limits of how long a client may take for each phase of its connection, us.
+// Limits of how long a client may take for each phase of its connection; times in us.
 struct ClientTimeouts {
   // From a request's first byte to the end of its head; for the first request, from connecting. After that,
   // a minimum of its body must arrive in each such period.
@@ -49,8 +49,9 @@
   // send only one.
   Time idle = 20'000'000;
   Time idle_after_first_request = 2'000'000;
-  // To read a response.
+  // To read the minimum below of a response that is not written completely.
   Time write = 10'000'000;
+  std::size_t min_read_bytes = 100'000;
   // To close the connection itself after its last response was written.
   Time linger = 500'000;
 };
@@ -133,6 +134,10 @@
   // Writes what has arrived of a streamed body, as far as the client reads it.
   void PassOnBody();
   void WritePart(std::string_view bytes);
+  void StartWriteTimeout();
+  void OnWriteTimeout();
+  // Returns the number of a response's bytes that the client's kernel has not acknowledged yet.
+  std::size_t UnreadByClient() const;
 
   ClientConnectionHandler* handler_;
   const frontend::ShutdownSequence& shutdown_;
@@ -152,12 +157,13 @@
   bool close_after_response_ = false;    // the connection is closed after the next response
   bool closing_ = false;                 // writing is shut down, or will be soon; further input is discarded
   bool has_unwritten_response_ = false;  // the last response is complete, and part of it is in the stream
-  std::size_t discarded_bytes_ = 0;      // input that belongs to no served request
-  loop::EventHandle request_timeout_;    // from a request's first byte, or from connecting, to its last byte
-  loop::EventHandle idle_timeout_;       // while there is no request, and the last response is written
-  loop::EventHandle write_timeout_;      // limits how long the client may take to read a response
-  loop::EventHandle read_pause_;         // after a rejected request
-  loop::EventHandle linger_timeout_;     // after the last response, to let the client close first
+  std::size_t unread_bytes_checked_ = 0;  // of the response, at the last check of the client's progress
+  std::size_t discarded_bytes_ = 0;       // input that belongs to no served request
+  loop::EventHandle request_timeout_;     // from a request's first byte, or from connecting, to its last byte
+  loop::EventHandle idle_timeout_;        // while there is no request, and the last response is written
+  loop::EventHandle write_timeout_;       // limits how long the client may take to read a response
+  loop::EventHandle read_pause_;          // after a rejected request
+  loop::EventHandle linger_timeout_;      // after the last response, to let the client close first
   loop::StreamPtr stream_;
 };
 
--- a/src/loop/peer.cpp
+++ b/src/loop/peer.cpp
@@ -1,5 +1,6 @@
 #include "loop/peer.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
@@ -49,4 +50,9 @@
   return elapsed >= kMinMeasurableTime ? elapsed : 0;
 }
 
+std::size_t UnacknowledgedBytes(evutil_socket_t fd) {
+  int bytes = 0;
+  return ioctl(fd, SIOCOUTQ, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 }  // namespace walnutspur::loop
--- a/tests/net/client_connection_test.cpp
+++ b/tests/net/client_connection_test.cpp
@@ -5,6 +5,8 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <array>
 #include <memory>
 #include <string>
 #include <utility>
@@ -22,8 +24,12 @@
 constexpr Time kShortTimeout = 30'000;            // us
 constexpr Time kLongTimeout = 10'000'000;         // us
 constexpr Time kMaxRunTime = 4'000'000;           // us
+constexpr Time kWriteTimeout = 400'000;           // us
+constexpr Time kReadInterval = 25'000;            // us
 constexpr int kSocketBufferBytes = 16 << 10;      // the kernel may double it
 constexpr std::size_t kLargeBodyBytes = 300'000;  // more than the kernel's buffers of both sides
+constexpr std::size_t kBytesPerInterval = 4'000;  // read by a slow client
+constexpr std::size_t kMinReadBytes = 20'000;     // in kWriteTimeout; a third of what that client reads
 constexpr std::size_t kUnreadBytes = 70'000;      // more than these buffers, and less than with the program's
 
 // Class ConnectionFixture connects a client to a ClientConnection. The sockets' buffers are small, so that
@@ -54,7 +60,7 @@
     REQUIRE(client_.Send("GET / HTTP/1.1\r\nHost: s\r\n" + header + "\r\n"));
     REQUIRE(RunUntil([this] { return requested_; }));
   }
-  // Responds with a body of kLargeBodyBytes; a streamed one is complete at once.
+  // Responds with a body; a streamed one is complete at once.
   void Respond(bool is_streamed) {
     const std::string bytes(kLargeBodyBytes, 'x');
     if (!is_streamed) {
@@ -71,6 +77,17 @@
     while (client_.Readable(0) && client_.Fill(0)) {
     }
   }
+  // Lets the client read kBytesPerInterval at a time. Returns whether it gets the whole response.
+  bool ReadSlowly() {
+    std::array<char, kBytesPerInterval> bytes;
+    ssize_t size = 1;
+    while (size != 0 && !HasBody()) {
+      RunFor(kReadInterval);
+      size = recv(client_.fd(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+      client_.received.append(bytes.data(), static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+    }
+    return HasBody();
+  }
   // Returns whether the client has got the whole response.
   bool HasBody() const {
     const std::size_t head_end = client_.received.find("\r\n\r\n");
@@ -161,6 +178,27 @@
   CHECK(fixture.RunUntil([&] { return !fixture.is_open(); }));  // the timeout follows all the same
 }
 
+// Guards against a large response that is cut off when the write timeout is over, although the client reads:
+// the timeout was one for the whole rest of the response, or ran while the kernel reported no room in its
+// buffer.
+TEST_CASE("client connection: a client that reads on may take longer than the write timeout for a response") {
+  http::ClientTimeouts timeouts;
+  timeouts.write = kWriteTimeout;
+  timeouts.min_read_bytes = kMinReadBytes;
+  SUBCASE("a client that reads slowly gets all of it") {
+    ConnectionFixture fixture(timeouts);
+    fixture.Request("");
+    fixture.Respond(false);
+    CHECK(fixture.ReadSlowly());
+  }
+  SUBCASE("a client that does not read is disconnected") {
+    ConnectionFixture fixture(timeouts);
+    fixture.Request("");
+    fixture.Respond(false);
+    CHECK(fixture.RunUntil([&] { return !fixture.is_open(); }));
+  }
+}
+
 // Guards against a response that loses its end to make room for a new connection.
 TEST_CASE("client connection: a connection is not evicted before its last response is written") {
   ConnectionFixture fixture(WithShortLingerAndIdle());
