Reload: the shutdown is planned from the classes in force, not from those that are gone

Cause: ClassTable keeps definitions that requests under way refer to, and CopyTo took max_deadline over all of them, also over the scrub's own class of 5 s. GracefulShutdown plans the end of the process from it, so the process served up to 3.1 s after SIGTERM where SIGKILL comes after 1.95 s.

Change: max_deadline is taken over the classes that are configured now. Requests under way of another class are bounded by the shutdown's deadline, as all are.

--- a/src/app/class_table.cpp
+++ b/src/app/class_table.cpp
@@ -25,6 +25,11 @@
   return left.definition == right.definition && (!is_data_known || *left.changes_data == *right.changes_data);
 }
 
+// The scheduler's own classes have no name; no client waits for their requests.
+bool ClassTable::IsInForce(const Entry& entry) {
+  return entry.phase == Phase::kConfigured && !entry.name.empty();
+}
+
 void ClassTable::Replace(Entry& entry, Time now) {
   entry.name.clear();
   entry.phase = Phase::kReplaced;
@@ -84,7 +89,9 @@
     config->settings.classes.push_back(entry.definition);
     config->names.classes.push_back(entry.name);
     config->writes.push_back(entry.changes_data);
-    config->max_deadline = std::max(config->max_deadline, entry.definition.deadline);
+    if (IsInForce(entry)) {
+      config->max_deadline = std::max(config->max_deadline, entry.definition.deadline);
+    }
   }
 }
 
--- a/src/app/class_table.h
+++ b/src/app/class_table.h
@@ -29,7 +29,9 @@
   void Update(const http::Config& next, Time now);
   // Ends the grace of names at `now`. Returns whether a name was removed.
   bool RemoveExpiredNames(Time now);
-  // Sets the classes of a configuration. A class that is not accepted any more has an empty name.
+  // Sets the classes of a configuration, and its longest deadline: that of the classes that are configured
+  // now, from which the platform derives when it kills a process. A class that is not accepted any more has
+  // an empty name.
   void CopyTo(http::Config* config) const;
 
   std::size_t size() const { return entries_.size(); }
@@ -46,6 +48,8 @@
 
   static std::vector<Entry> EntriesOf(const http::Config& config);
   static bool IsSame(const Entry& left, const Entry& right);
+  // Returns whether the class is one that the settings in force have.
+  static bool IsInForce(const Entry& entry);
   void Replace(Entry& entry, Time now);
   void Add(const Entry& added, Time now);
 
--- a/src/http/config.h
+++ b/src/http/config.h
@@ -55,7 +55,7 @@
   std::vector<std::optional<bool>> writes;
   walnutspur::Time idle_timeout = 30'000'000;  // us until targets close an idle connection
   walnutspur::Time connect_timeout = 250'000;  // us
-  walnutspur::Time max_deadline = 0;           // us, maximum over all classes
+  walnutspur::Time max_deadline = 0;           // us, maximum over the configured classes
   DigestOptions digests;
   nlohmann::json settings_document;  // the text of `settings`
   nlohmann::json cached_list;        // the last run's endpoint list in the discovery format; null: none
--- a/tests/unit/reload_test.cpp
+++ b/tests/unit/reload_test.cpp
@@ -120,6 +120,29 @@
   CHECK(IndexIn(table, "b") == 2);
 }
 
+// Guards against a shutdown that is planned from the deadline of a class that is gone: the platform kills the
+// process by the settings in force, and requests that the process then still serves get no response.
+TEST_CASE("class table: the longest deadline is that of the classes in force") {
+  const auto max_deadline_of = [](const ClassTable& table) {
+    http::Config config;
+    table.CopyTo(&config);
+    return config.max_deadline;
+  };
+  http::Config first = ConfigWithClasses({{"a", kSecond}, {"b", 2 * kSecond}});
+  RequestClass own_class;  // of the scheduler, without a name
+  own_class.deadline = 5 * kSecond;
+  first.settings.classes.push_back(own_class);
+  ClassTable table(first);
+  CHECK(max_deadline_of(table) == 2 * kSecond);
+  table.Update(ConfigWithClasses({{"a", kSecond}, {"b", 3 * kSecond / 2}}), 0);  // a deadline becomes shorter
+  CHECK(max_deadline_of(table) == 3 * kSecond / 2);
+  table.Update(ConfigWithClasses({{"a", kSecond}}), 1);  // a class vanishes; its name is still accepted
+  CHECK(IndexIn(table, "b") >= 0);
+  CHECK(max_deadline_of(table) == kSecond);
+  table.Update(ConfigWithClasses({{"a", kSecond}, {"b", 3 * kSecond / 2}}), 2);  // and returns
+  CHECK(max_deadline_of(table) == 3 * kSecond / 2);
+}
+
 TEST_CASE("class table: many changes use the indexes of replaced classes again, but not at once") {
   ClassTable table(ConfigWithClasses({{"a", kSecond}}));
   Time now = 0;
