Reload: the tightest objective counts only classes that accept requests

Callers: after a SIGHUP at which the class with the shortest objective vanished or got a longer one, limits, loss detection and placement stayed as tight as for that class, for good: less was admitted than the settings allow.

Cause: SchedulerState::ReplaceSettings takes the minimum over all classes, also over definitions that are kept only for requests under way.

Change: RequestClass::accepts_requests, which ClassTable clears for classes that were replaced; the minimum skips these. Embedders: a new member with the former meaning as its default.

Evidence: tests/unit/decision_test.cpp, "after new settings the tightest objective ...", failed without the condition (100 ms instead of 400 ms) and passes; 123 unit tests pass.

--- a/include/walnutspur/settings.h
+++ b/include/walnutspur/settings.h
@@ -24,6 +24,8 @@
   double priority_weight = 1;       // weight earned by each unit served
   double late_weight_fraction = 0;  // fraction of the weight that a response after the objective earns
   bool ordered_by_key = false;      // requests with the same key are executed in order of arrival
+  // Whether new requests may have this class. If not, only requests under way refer to it.
+  bool accepts_requests = true;
 
   bool operator==(const RequestClass&) const = default;
 };
--- a/src/app/class_table.cpp
+++ b/src/app/class_table.cpp
@@ -87,6 +87,7 @@
   config->max_deadline = 0;
   for (const Entry& entry : entries_) {
     config->settings.classes.push_back(entry.definition);
+    config->settings.classes.back().accepts_requests = entry.phase != Phase::kReplaced;
     config->names.classes.push_back(entry.name);
     config->writes.push_back(entry.changes_data);
     if (IsInForce(entry)) {
--- a/src/decision/state.cpp
+++ b/src/decision/state.cpp
@@ -12,7 +12,9 @@
 Duration TightestObjective(const Settings& settings) {
   Duration tightest = kNoObjective;
   for (const RequestClass& request_class : settings.classes) {
-    tightest = std::min(tightest, Microseconds(request_class.latency_objective));
+    if (request_class.accepts_requests) {
+      tightest = std::min(tightest, Microseconds(request_class.latency_objective));
+    }
   }
   return tightest;
 }
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -54,7 +54,7 @@
   RandomSource random;
   Time now = 0;
   Time started_at = 0;
-  Duration tightest_objective;  // minimum latency objective of all classes
+  Duration tightest_objective;  // minimum latency objective of the classes that accept requests
   std::vector<Action> actions;  // emitted by the event being handled
 
   EndpointTable endpoints;
--- a/tests/unit/decision_test.cpp
+++ b/tests/unit/decision_test.cpp
@@ -21,6 +21,19 @@
 
 }  // namespace
 
+// Guards against limits, loss detection and placement that stay tight for the objective of a class that is
+// gone.
+TEST_CASE(
+    "scheduler state: after new settings the tightest objective is that of a class that accepts requests") {
+  Settings settings = MakeSettings();
+  settings.classes[1].latency_objective = kObjective / 4;
+  SchedulerState state = MakeState(settings, 7);
+  CHECK(ToTime(state.tightest_objective) == kObjective / 4);
+  settings.classes[1].accepts_requests = false;
+  state.ReplaceSettings(settings);
+  CHECK(ToTime(state.tightest_objective) == kObjective);
+}
+
 TEST_CASE("FlowTable: requests are visited by volume and queue position") {
   Fixture fixture;
   Volume& first = fixture.MakeVolume("z");
--- a/tests/unit/reload_test.cpp
+++ b/tests/unit/reload_test.cpp
@@ -101,6 +101,8 @@
   table.CopyTo(&config);
   CHECK(config.settings.classes[1].deadline == kSecond);  // of requests under way
   CHECK(config.settings.classes[3].deadline == 2 * kSecond);
+  CHECK_FALSE(config.settings.classes[1].accepts_requests);
+  CHECK(config.settings.classes[3].accepts_requests);
   CHECK(config.max_deadline == 2 * kSecond);
   CHECK(http::IndexOf(config.names.classes, "") == -1);
 }
