NBD: an attempt that ends takes its unwritten command with it

Cause: TargetPool::Abandon reports a command that is not written completely as kConnectFailed, but its bytes stayed in the connection's output buffer, and the connection stayed open for other commands.

Change: the bytes of a command of which the kernel has taken nothing are removed from the buffer; after a partly written one the connection is closed at once, since a target cannot execute a part. So no byte that could complete the command leaves after the outcome "never executed".

--- a/src/loop/stream.cpp
+++ b/src/loop/stream.cpp
@@ -55,6 +55,17 @@
   }
 }
 
+// The bytes before the range are moved out and back, by reference where they are in buffers of their own.
+void RemoveOutput(bufferevent* stream, std::size_t offset, std::size_t size) {
+  const std::unique_ptr<evbuffer, Deleter<evbuffer_free>> before(evbuffer_new());
+  evbuffer* output = bufferevent_get_output(stream);
+  evbuffer_unfreeze(output, 1);
+  evbuffer_remove_buffer(output, before.get(), offset);
+  evbuffer_drain(output, size);
+  evbuffer_prepend_buffer(output, before.get());
+  evbuffer_freeze(output, 1);
+}
+
 void PauseReading(bufferevent* stream) { bufferevent_disable(stream, EV_READ); }
 
 void ResumeReading(bufferevent* stream) {
--- a/src/loop/stream.h
+++ b/src/loop/stream.h
@@ -45,6 +45,10 @@
 void PauseReading(bufferevent* stream);
 void ResumeReading(bufferevent* stream);
 
+// Removes `size` bytes of the output buffer from `offset` on, counted from the first byte that the kernel has
+// not accepted. They will not be sent.
+void RemoveOutput(bufferevent* stream, std::size_t offset, std::size_t size);
+
 // Makes the close of the connection a reset, so that the peer cannot take it for the end of a message.
 void ResetOnClose(bufferevent* stream);
 
--- a/src/nbd/target_connection.cpp
+++ b/src/nbd/target_connection.cpp
@@ -93,16 +93,44 @@
   for (const integrity::Slice& slice : command->tail) {
     AppendSlice(output, slice);
   }
+  const std::uint64_t begin = bytes_queued_;
   bytes_queued_ += evbuffer_get_length(output) - before;
-  unwritten_.push_back({cookie, bytes_queued_});
+  unwritten_.push_back({cookie, begin, bytes_queued_});
 }
 
-void TargetConnection::Abandon(const loop::AttemptKey& key, std::uint64_t cookie) {
+bool TargetConnection::Abandon(const loop::AttemptKey& key, std::uint64_t cookie) {
   std::erase(waiting_, key);
   in_flight_.erase(cookie);
-  if (cookie != 0) {
-    retired_ = true;
+  if (cookie == 0) {
+    return true;
+  }
+  retired_ = true;
+  if (IsWritten(cookie)) {
+    return true;
   }
+  const auto command = FindUnwritten(cookie);
+  if (command->begin < bytes_written()) {
+    return false;
+  }
+  RemoveCommand(command);
+  return true;
+}
+
+void TargetConnection::RemoveCommand(UnwrittenCommands::const_iterator command) {
+  const std::uint64_t size = command->end - command->begin;
+  loop::RemoveOutput(stream_.get(), command->begin - bytes_written(), size);
+  bytes_queued_ -= size;
+  const auto next = unwritten_.erase(command);
+  std::for_each(next, unwritten_.end(), [size](UnwrittenCommand& later) {
+    later.begin -= size;
+    later.end -= size;
+  });
+}
+
+TargetConnection::UnwrittenCommands::const_iterator TargetConnection::FindUnwritten(
+    std::uint64_t cookie) const {
+  return std::find_if(unwritten_.begin(), unwritten_.end(),
+                      [cookie](const UnwrittenCommand& command) { return command.cookie == cookie; });
 }
 
 void TargetConnection::StartIdleTimer() {
@@ -122,9 +150,8 @@
   if (cookie == 0) {
     return false;
   }
-  const auto at = std::find_if(unwritten_.begin(), unwritten_.end(),
-                               [&](const UnwrittenCommand& command) { return command.cookie == cookie; });
-  return at == unwritten_.end() || at->end <= bytes_queued_ - loop::UnwrittenBytes(stream_.get());
+  const auto at = FindUnwritten(cookie);
+  return at == unwritten_.end() || at->end <= bytes_written();
 }
 
 bool TargetConnection::HasUnwrittenAttempts() const {
--- a/src/nbd/target_connection.h
+++ b/src/nbd/target_connection.h
@@ -66,10 +66,12 @@
   // Sends the command of an attempt. The session must be ready.
   void Send(const loop::AttemptKey& key, std::uint64_t cookie,
             const std::shared_ptr<const CommandPayload>& command);
-  // Removes an attempt; a later reply to it is ignored. Cookie 0 denotes an attempt that was not sent. If the
-  // attempt was sent, the connection accepts no further attempts, since a command that is stuck at the target
-  // would delay them.
-  void Abandon(const loop::AttemptKey& key, std::uint64_t cookie);
+  // Removes an attempt; a later reply to it is ignored. Cookie 0 denotes an attempt that was not sent. Bytes
+  // of the command that the kernel has not accepted are never sent. If the attempt was sent, the connection
+  // accepts no further attempts, since a command that is stuck at the target would delay them. Returns false
+  // if the kernel has accepted a part of the command: nothing can follow that part, and the owner must end
+  // the connection.
+  [[nodiscard]] bool Abandon(const loop::AttemptKey& key, std::uint64_t cookie);
   // Makes the connection accept no further attempts.
   void Retire() { retired_ = true; }
   void StopIdleTimer() { idle_timer_.Stop(); }
@@ -98,13 +100,20 @@
   // A command that may not have been written completely.
   struct UnwrittenCommand {
     std::uint64_t cookie = 0;
-    std::uint64_t end = 0;  // position of its end among all bytes passed to the stream
+    std::uint64_t begin = 0;  // positions among all bytes passed to the stream
+    std::uint64_t end = 0;
   };
+  using UnwrittenCommands = std::vector<UnwrittenCommand>;  // in the order of their positions
 
   Request MakeRequest(const Request& command, std::uint64_t cookie) const;
   void WriteHandshake(const std::string& bytes);
   void OnReply(Reply reply);
   void SendWaiting();
+  UnwrittenCommands::const_iterator FindUnwritten(std::uint64_t cookie) const;
+  // Returns how many bytes the kernel has accepted.
+  std::uint64_t bytes_written() const { return bytes_queued_ - loop::UnwrittenBytes(stream_.get()); }
+  // Removes a command of which the kernel has accepted nothing from the stream's output.
+  void RemoveCommand(UnwrittenCommands::const_iterator command);
 
   std::uint64_t number_;
   TargetExport export_;
@@ -113,8 +122,8 @@
   ClientSession session_;
   AttemptsInFlight in_flight_;             // without abandoned attempts
   std::vector<loop::AttemptKey> waiting_;  // attempts that wait for the handshake
-  std::vector<UnwrittenCommand> unwritten_;
-  std::uint64_t bytes_queued_ = 0;  // total passed to the stream
+  UnwrittenCommands unwritten_;
+  std::uint64_t bytes_queued_ = 0;  // total passed to the stream, without commands that were removed
   bool retired_ = false;
   loop::EventHandle connect_timer_;
   loop::EventHandle idle_timer_;
--- a/src/nbd/target_pool.cpp
+++ b/src/nbd/target_pool.cpp
@@ -171,7 +171,9 @@
   Abandon({request, attempt}, Outcome::kCancelled);
 }
 
-// NBD has no means to cancel a command: the attempt ends, and a later reply of the target is ignored.
+// NBD has no means to cancel a command: if it is written, the attempt ends, and a later reply of the target
+// is ignored. A command that is not written completely is reported as never executed, so the target must not
+// get the rest of it, however late it reads.
 void TargetPool::Abandon(const loop::AttemptKey& key, Outcome outcome) {
   const auto at = pending_.find(key);
   if (at == pending_.end()) {
@@ -180,9 +182,13 @@
   TargetConnection& connection = *at->second.connection;
   const std::uint64_t cookie = at->second.cookie;
   const bool written = connection.IsWritten(cookie);
-  connection.Abandon(key, cookie);
+  const bool is_usable = connection.Abandon(key, cookie);
   Report(key, written || outcome == Outcome::kCancelled ? outcome : Outcome::kConnectFailed);
-  connection.StartIdleTimer();
+  if (is_usable) {
+    connection.StartIdleTimer();
+  } else {
+    OnEnd(connection);
+  }
 }
 
 void TargetPool::Report(const loop::AttemptKey& key, Outcome outcome, core::PayloadRef payload) {
