NBD: a command that waits in a buffer is not written after its latest time

Callers: none seen.

Change: the attempt's timer first fires at not_after; a command that is written goes on to its timeout, one that is not ends as never executed, which removes its bytes.

Evidence: tests/net/nbd_target_pool_test.cpp, "a command that is not written by its latest time", failed before (no outcome within 4 s) and passes.

--- a/src/nbd/target_pool.cpp
+++ b/src/nbd/target_pool.cpp
@@ -134,8 +134,10 @@
     return;
   }
   pending.connection = connection;
-  pending.timeout = loop::MakeTimer(base_, [this, key] { Abandon(key, Outcome::kTimedOut); });
-  pending.timeout.Start(expires_at - now);
+  pending.expires_at = expires_at;
+  pending.timeout = loop::MakeTimer(base_, [this, key] { OnTimeout(key); });
+  const Time must_be_written_at = attempt.not_after > 0 ? attempt.not_after : expires_at;
+  pending.timeout.Start(std::min(must_be_written_at, expires_at) - now);
   connection->StopIdleTimer();
   if (connection->session().ready()) {
     OnReady(*connection, key);
@@ -167,6 +169,18 @@
   Report(key, outcome, std::move(payload));
 }
 
+// A command may wait in its connection's buffer while the target does not read. If it is not written by
+// StartAttempt::not_after, it must not be written later.
+void TargetPool::OnTimeout(const loop::AttemptKey& key) {
+  PendingAttempt& pending = pending_.at(key);
+  const Time now = core::Now();
+  if (now < pending.expires_at && pending.connection->IsWritten(pending.cookie)) {
+    pending.timeout.Start(pending.expires_at - now);
+    return;
+  }
+  Abandon(key, Outcome::kTimedOut);
+}
+
 void TargetPool::Cancel(core::RequestNumber request, int attempt) {
   Abandon({request, attempt}, Outcome::kCancelled);
 }
--- a/src/nbd/target_pool.h
+++ b/src/nbd/target_pool.h
@@ -43,6 +43,7 @@
     TargetConnection* connection = nullptr;
     std::uint64_t cookie = 0;  // 0: the attempt waits for the handshake
     Time started_at = 0;       // us
+    Time expires_at = 0;       // us
     loop::EventHandle timeout;
   };
 
@@ -53,6 +54,7 @@
 
   TargetConnection* FindConnection(const TargetExport& target_export);
   TargetConnection* OpenConnection(const TargetExport& target_export);
+  void OnTimeout(const loop::AttemptKey& key);
   void Abandon(const loop::AttemptKey& key, Outcome outcome);
   void Report(const loop::AttemptKey& key, Outcome outcome, core::PayloadRef payload = nullptr);
 
--- a/tests/net/nbd_target_pool_test.cpp
+++ b/tests/net/nbd_target_pool_test.cpp
@@ -51,7 +51,7 @@
 
   // Starts a command at target a; its offset tells which request it belongs to.
   void Start(core::RequestNumber request, nbd::Command type, std::uint32_t length,
-             Time timeout = 2 * kMaxRunTime) {
+             Time timeout = 2 * kMaxRunTime, Time not_after = 0) {
     auto command = std::make_shared<nbd::CommandPayload>();
     command->request.type = type;
     command->request.offset = request * kBlockBytes;
@@ -64,6 +64,7 @@
     start.target = "a";
     start.timeout = timeout;
     start.payload = command;
+    start.not_after = not_after;
     pool_->Start(start);
   }
   // Accepts the pool's connection and completes the handshake on it.
@@ -192,5 +193,25 @@
   CHECK_FALSE(fixture.HasGot(3));
 }
 
+// Guards against a repeat that reaches the target when the target no longer recognizes it as one, after it
+// has waited in the buffer of a connection.
+TEST_CASE("NBD target pool: a command that is not written by its latest time never reaches the target") {
+  NbdPoolFixture fixture;
+  fixture.Start(1, nbd::kWrite, kSmallWriteBytes, 2 * kMaxRunTime, core::Now() + 2 * kSettleTime);
+  fixture.Accept();
+  fixture.Settle();
+  fixture.Start(2, nbd::kWrite, kLargeWriteBytes);
+  fixture.Start(3, nbd::kWrite, kSmallWriteBytes, 2 * kMaxRunTime, core::Now() + kSettleTime / 2);
+  fixture.Settle();
+  CHECK(fixture.OutcomeOf(3) == Outcome::kConnectFailed);
+  fixture.Settle();
+  fixture.Execute(1);  // it was written in time, and goes on after its latest time
+  CHECK(fixture.OutcomeOf(1) == Outcome::kCompleted);
+  fixture.Execute(2);
+  CHECK(fixture.OutcomeOf(2) == Outcome::kCompleted);
+  fixture.ReadToEnd();
+  CHECK_FALSE(fixture.HasGot(3));
+}
+
 }  // namespace
 }  // namespace walnutspur::test
