Lab: clients that press a process, and tests that fail for them (known failures)

Change: walnutspur-lab pressure runs one process with usual clients beside clients that press it (incomplete bodies, heads of short fields, readiness checks and unsound requests at full speed, new volumes, unread responses, abandoned requests, repeated ids) and prints the peak memory, the usual clients' waits and the throughput. faults_client_pressure_* run the same with 32 MB and 1,024 descriptors.

--- a/src/lab/commands/command.h
+++ b/src/lab/commands/command.h
@@ -26,6 +26,7 @@
 Command DeclareKeys(CLI::App& program);
 Command DeclareInvariants(CLI::App& program);
 Command DeclareSoak(CLI::App& program);
+Command DeclarePressure(CLI::App& program);
 Command DeclareStorageServer(CLI::App& program);
 Command DeclareBench(CLI::App& program);
 
--- a/src/lab/fakes/http_target.cpp
+++ b/src/lab/fakes/http_target.cpp
@@ -89,7 +89,8 @@
   } else if (fault == TargetFault::kOverloaded) {
     connection.Respond(kUnavailable, "busy\n", "X-Not-Run: 1\r\n");
   } else {
-    connection.Respond(kOk, connection.request().uri());
+    const std::string& uri = connection.request().uri();
+    connection.Respond(kOk, response_bytes_ > 0 ? std::string(response_bytes_, 'r') : uri);
   }
   connection.ReadNext();
 }
--- a/src/lab/fakes/http_target.h
+++ b/src/lab/fakes/http_target.h
@@ -7,6 +7,7 @@
 #ifndef WALNUTSPUR_LAB_FAKES_HTTP_TARGET_H_
 #define WALNUTSPUR_LAB_FAKES_HTTP_TARGET_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -51,6 +52,8 @@
   int port() const { return port_; }
   TargetFault fault() const { return fault_; }
   void SetFault(TargetFault fault);
+  // Sets the size of the body of responses with status 200; 0: the request's URI.
+  void set_response_bytes(std::size_t bytes) { response_bytes_ = bytes; }
   // Closes all connections that carry no request.
   void CloseIdleConnections();
 
@@ -74,6 +77,7 @@
   HttpTargetObserver* observer_;
   int port_ = 0;
   TargetFault fault_ = TargetFault::kNone;
+  std::size_t response_bytes_ = 0;
   std::uint64_t next_connection_ = 1;
   std::unique_ptr<loop::Listener> listener_;  // null while kDown
   std::map<std::uint64_t, Served> connections_;
--- a/src/lab/fakes/platform_config.cpp
+++ b/src/lab/fakes/platform_config.cpp
@@ -60,6 +60,9 @@
                    {"seed", "8c1f30d27a5be964"},
                    {"limits", {{"sockets", config.max_sockets}}},
                    {"settings", Settings(config)}};
+  if (config.memory_mb > 0) {
+    document["limits"]["memory_mb"] = config.memory_mb;
+  }
   if (!config.discovery.empty()) {
     document["discovery"] = config.discovery;
   }
--- a/src/lab/fakes/platform_config.h
+++ b/src/lab/fakes/platform_config.h
@@ -31,6 +31,7 @@
   std::string discovery;               // host:port; empty: the key is missing, and the caller adds it
   nlohmann::json cached_endpoints;     // a document of FormatEndpointList; null: none
   int max_sockets = 1024;
+  int memory_mb = 0;  // memory limit of the process; 0: the key is missing
   int instances = 1;  // of initiators in the fleet
   std::vector<PlatformRequestClass> classes = {PlatformRequestClass{}};
   std::string plan = "basic";      // name of the only plan
--- a/src/lab/fakes/process.cpp
+++ b/src/lab/fakes/process.cpp
@@ -20,6 +20,7 @@
 constexpr mode_t kLogMode = 0640;
 constexpr double kNanosecondsPerSecond = 1e9;
 constexpr int kHexadecimal = 16;
+constexpr std::size_t kBytesPerKibibyte = 1024;
 
 // Runs in the child.
 [[noreturn]] void Execute(char* const* arguments, const std::map<std::string, std::string>& environment,
@@ -104,6 +105,17 @@
   return "/proc/" + std::to_string(pid_) + "/" + name;
 }
 
+std::size_t Process::peak_memory() const {
+  std::ifstream status(ProcPath("status"));
+  const std::string key = "VmHWM:";
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(key)) {
+      return std::stoul(line.substr(key.size())) * kBytesPerKibibyte;
+    }
+  }
+  return 0;
+}
+
 double Process::cpu() const { return SumOfSchedstat(0); }
 
 double Process::processor_wait() const { return SumOfSchedstat(1); }
--- a/src/lab/fakes/process.h
+++ b/src/lab/fakes/process.h
@@ -6,6 +6,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <map>
 #include <stdexcept>
 #include <string>
@@ -39,6 +40,8 @@
   int Wait(int ms);
   bool running();
 
+  // Returns the peak of the resident memory, bytes; 0 once the process has exited.
+  std::size_t peak_memory() const;
   // Returns the processor time that all threads of the process have used, in seconds.
   double cpu() const;
   // Returns the time that all threads were ready to run and waited for a processor, in seconds.
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -20,7 +20,8 @@
   return {walnutspur::lab::DeclareSimulate(program),      walnutspur::lab::DeclareExplore(program),
           walnutspur::lab::DeclareCheck(program),         walnutspur::lab::DeclareKeys(program),
           walnutspur::lab::DeclareInvariants(program),    walnutspur::lab::DeclareSoak(program),
-          walnutspur::lab::DeclareStorageServer(program), walnutspur::lab::DeclareBench(program)};
+          walnutspur::lab::DeclareStorageServer(program), walnutspur::lab::DeclareBench(program),
+          walnutspur::lab::DeclarePressure(program)};
 }
 
 int RunParsed(const std::vector<Command>& commands) {
--- a/src/lab/soak/load_client.cpp
+++ b/src/lab/soak/load_client.cpp
@@ -96,7 +96,7 @@
   request.deadline = options_.deadline;
   request.shard = random_.Below(static_cast<std::uint64_t>(options_.shards));
   request.path = "/api/00000003b4d6000" + std::to_string(request.shard % 10) + "/" + FormatId(request.id);
-  request.body = is_write ? "data" : "";
+  request.body = is_write ? std::string(options_.body_bytes, 'd') : "";
   return request;
 }
 
--- a/src/lab/soak/load_client.h
+++ b/src/lab/soak/load_client.h
@@ -6,6 +6,7 @@
 #ifndef WALNUTSPUR_LAB_SOAK_LOAD_CLIENT_H_
 #define WALNUTSPUR_LAB_SOAK_LOAD_CLIENT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -31,6 +32,7 @@
       0;                          // of requests whose client disconnects at a random time before the deadline
   double reconnect_fraction = 0;  // of responses after which the client closes its connection
   int shards = 4;
+  std::size_t body_bytes = 4;   // of a write
   bool starts_at_once = false;  // all connections are opened together instead of after a think time
 };
 
--- a/src/lab/soak/test_environment.cpp
+++ b/src/lab/soak/test_environment.cpp
@@ -47,6 +47,7 @@
   for (int number = 0; number < options.targets; ++number) {
     targets_.push_back(
         std::make_unique<HttpTarget>(base_.get(), "t" + std::to_string(number), &target_recorder_));
+    targets_.back()->set_response_bytes(options.response_bytes);
     discovery_->SetInitially({targets_.back()->name(), FormatLoopbackAddress(targets_.back()->port()),
                               EndpointState::kActive, number, options.up_since_ms});
   }
@@ -85,6 +86,8 @@
   config.rate = 2000.0;
   config.drain_grace = options_.drain_grace;
   config.shards = options_.targets;
+  config.memory_mb = options_.memory_mb;
+  config.max_sockets = options_.sockets;
   return config;
 }
 
--- a/src/lab/soak/test_environment.h
+++ b/src/lab/soak/test_environment.h
@@ -4,6 +4,7 @@
 #ifndef WALNUTSPUR_LAB_SOAK_TEST_ENVIRONMENT_H_
 #define WALNUTSPUR_LAB_SOAK_TEST_ENVIRONMENT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -29,9 +30,12 @@
 struct TestEnvironmentOptions {
   std::string program;  // path of the walnutspur program
   int processes = 1;
-  int targets = 4;               // one for each shard
-  bool has_management = false;   // whether the processes have a management address and can be replaced
-  int configured_instances = 0;  // value of the key nInstances; 0: the number of processes
+  int targets = 4;                 // one for each shard
+  bool has_management = false;     // whether the processes have a management address and can be replaced
+  int memory_mb = 0;               // memory limit of a process; 0: the key is missing
+  int sockets = 1024;              // maximum number of descriptors of a process
+  std::size_t response_bytes = 0;  // body of the targets' responses; 0: a short text
+  int configured_instances = 0;    // value of the key nInstances; 0: the number of processes
   Time drain_grace = 500'000;
   std::int64_t up_since_ms = 0;  // Unix time at which all targets started; 0: long ago
   LoadOptions load;
@@ -86,6 +90,10 @@
   // has.
   void Reload(int process);
   bool IsRunning(int process);
+  // Returns the address at which a process serves clients.
+  const loop::Address& address(int process) { return member(process).listen; }
+  // Returns the peak of the resident memory of a process that runs, bytes.
+  std::size_t PeakMemory(int process) { return member(process).process->peak_memory(); }
 
   // Changes the state of a target in the endpoint list.
   void SetEndpointState(int target, EndpointState state);
