Fix: a head of many short fields held many times its size in memory

Callers saw: a process passed its memory limit when hundreds of clients sent heads of very many short fields. Cause: MessageReader kept each header as two std::string (64 bytes for the 4 bytes of 'a:' and its line end), in a vector that doubles: 16 KiB of head held 256 KiB and more, times 368 connections. Change: names and values stand in one text, with eight bytes of positions a header; more than 256 headers are answered with 431 and a close. held_bytes says what a message occupies. A request's large body of declared length is allocated at once instead of being copied to ever larger buffers.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -12,6 +12,9 @@
 // Maximum total size of head, chunk size lines and trailers.
 constexpr std::size_t kMaxLineBytes = 16 << 10;
 
+// Maximum number of headers of a message.
+constexpr std::size_t kMaxFields = 256;
+
 // Maximum number of digits of a length. It fits into 64 bits and covers every accepted body size.
 constexpr std::size_t kMaxDigits = 18;
 
@@ -114,6 +117,7 @@
 
 void MessageReader::TakeBody(std::string_view* bytes) {
   const auto size = static_cast<std::size_t>(std::min<std::uint64_t>(remaining_bytes_, bytes->size()));
+  ReserveBody(body_.size() + size);
   body_.append(bytes->substr(0, size));
   bytes->remove_prefix(size);
   remaining_bytes_ -= size;
@@ -145,6 +149,28 @@
   OnLine(line);
 }
 
+// A body that grows without a declared length occupies up to twice its size while its buffer is enlarged.
+std::size_t MessageReader::held_bytes() const {
+  const std::size_t head = line_.capacity() + method_.capacity() + uri_.capacity() + field_text_.capacity() +
+                           fields_.capacity() * sizeof(Field);
+  const std::size_t declared = declared_body_bytes();
+  if (kind_ == Kind::kResponse || declared <= kProtocolBodyBytes) {
+    return head + body_.capacity();
+  }
+  return head + (declared_length_ ? declared : 2 * declared);
+}
+
+// Allocates a request's large body of declared length at once, so that its buffer is never copied to a larger
+// one. A response's large body is taken in parts.
+void MessageReader::ReserveBody(std::size_t needed) {
+  if (needed <= body_.capacity()) {
+    return;
+  }
+  const std::size_t declared = body_.size() + static_cast<std::size_t>(remaining_bytes_);
+  const bool is_large = kind_ == Kind::kRequest && declared_length_ && declared > kProtocolBodyBytes;
+  body_.reserve(is_large ? declared : std::min(declared, std::max(needed, 2 * body_.capacity())));
+}
+
 void MessageReader::End() {
   if (state_ == State::kBodyToEnd) {
     state_ = State::kComplete;
@@ -240,13 +266,26 @@
     MarkMalformed(kStatusBadRequest, "a header without a name");
     return;
   }
-  fields_.push_back({std::string(line.substr(0, colon)), std::string(Trim(line.substr(colon + 1)))});
+  if (fields_.size() >= kMaxFields) {
+    MarkMalformed(kStatusHeaderTooLarge, "too many headers");
+    return;
+  }
+  Field field;
+  field.name = static_cast<std::uint32_t>(field_text_.size());
+  field_text_.append(line.substr(0, colon)).push_back('\0');
+  field.value = static_cast<std::uint32_t>(field_text_.size());
+  field_text_.append(Trim(line.substr(colon + 1))).push_back('\0');
+  fields_.push_back(field);
+}
+
+std::string_view MessageReader::NameOf(const Field& field) const {
+  return std::string_view(field_text_).substr(field.name, field.value - field.name - 1);
 }
 
 const char* MessageReader::Find(std::string_view name) const {
   for (const Field& field : fields_) {
-    if (EqualsIgnoringCase(field.name, name)) {
-      return field.value.c_str();
+    if (EqualsIgnoringCase(NameOf(field), name)) {
+      return ValueOf(field);
     }
   }
   return nullptr;
@@ -255,15 +294,15 @@
 std::string MessageReader::Joined(std::string_view name) const {
   std::string joined;
   for (const Field& field : fields_) {
-    if (EqualsIgnoringCase(field.name, name)) {
-      joined += (joined.empty() ? "" : ", ") + field.value;
+    if (EqualsIgnoringCase(NameOf(field), name)) {
+      joined += std::string(joined.empty() ? "" : ", ") + ValueOf(field);
     }
   }
   return joined;
 }
 
 std::size_t MessageReader::Count(std::string_view name) const {
-  const auto has_name = [&](const Field& field) { return EqualsIgnoringCase(field.name, name); };
+  const auto has_name = [&](const Field& field) { return EqualsIgnoringCase(NameOf(field), name); };
   return static_cast<std::size_t>(std::count_if(fields_.begin(), fields_.end(), has_name));
 }
 
@@ -274,6 +313,7 @@
       return;
     }
     fields_.clear();
+    field_text_.clear();
     state_ = State::kStartLine;
     return;
   }
--- a/src/http/message_reader.h
+++ b/src/http/message_reader.h
@@ -67,6 +67,9 @@
   std::size_t declared_body_bytes() const {
     return body_.size() + static_cast<std::size_t>(remaining_bytes_);
   }
+  // Returns the bytes of memory that the message occupies. A request's declared body that is larger than the
+  // protocol's usual maximum counts with its full size from the end of its head on.
+  std::size_t held_bytes() const;
   // Returns whether the sender keeps the connection open after this message.
   bool keeps_alive() const { return keeps_alive_; }
   // Returns whether the client waits for a "100 Continue" before it sends the body.
@@ -85,21 +88,25 @@
     kComplete,
     kMalformed
   };
+  // A header: positions in field_text_, which holds its name and its value, each ended by a NUL.
   struct Field {
-    std::string name;
-    std::string value;
+    std::uint32_t name = 0;
+    std::uint32_t value = 0;
   };
 
   // Each consumes bytes from the front of `bytes`.
   void TakeBodyToEnd(std::string_view* bytes);
   void TakeBody(std::string_view* bytes);
   void TakeLine(std::string_view* bytes);
+  void ReserveBody(std::size_t needed);
 
   void OnLine(std::string_view line);
   void OnStartLine(std::string_view line);
   void OnRequestLine(std::string_view line);
   void OnStatusLine(std::string_view line);
   void OnFieldLine(std::string_view line);
+  std::string_view NameOf(const Field& field) const;
+  const char* ValueOf(const Field& field) const { return field_text_.c_str() + field.value; }
   void OnHeadComplete();
   void ReadConnectionHeader();
   void ReadBodyFraming();
@@ -118,6 +125,7 @@
   bool is_http_1_0_ = false;
   bool keeps_alive_ = true;
   bool expects_continue_ = false;
+  std::string field_text_;
   std::vector<Field> fields_;
   std::optional<std::uint64_t> declared_length_;
   std::uint64_t remaining_bytes_ = 0;  // bytes left of the body or the chunk
--- a/tests/faults/client_pressure_test.cpp
+++ b/tests/faults/client_pressure_test.cpp
@@ -1,5 +1,6 @@
 // Tests that a real process keeps to its memory limit, and answers its usual clients in time, while others
-// press it: with incomplete requests, requests at full speed, ever new names, unread responses, and by leaving.
+// press it: with incomplete requests, requests at full speed, ever new names, unread responses, and by
+// leaving.
 #include <doctest/doctest.h>
 
 #include <string>
--- a/tests/net/malformed_message_test.cpp
+++ b/tests/net/malformed_message_test.cpp
@@ -170,6 +170,25 @@
   CHECK(runner.target_connections("a") == 1);
 }
 
+// Guards against a head that holds many times its size in memory.
+TEST_CASE(
+    "MessageReader: a head of many short fields holds little more than its size, up to a maximum number") {
+  constexpr std::size_t kMaxFields = 256;
+  std::string head = "GET /a/b HTTP/1.1\r\n";
+  http::MessageReader reader(http::MessageReader::Kind::kRequest);
+  reader.Feed(head);
+  for (std::size_t field = 0; field < kMaxFields; ++field) {
+    reader.Feed("a:b\r\n");
+  }
+  CHECK_FALSE(reader.malformed());
+  CHECK(reader.Count("A") == kMaxFields);
+  CHECK(std::string(reader.Find("a")) == "b");
+  CHECK(reader.held_bytes() < 8'192);
+  reader.Feed("a:b\r\n");
+  CHECK(reader.malformed());
+  CHECK(reader.status() == 431);
+}
+
 TEST_CASE("MessageReader: a message in pieces of any size is parsed the same, within the limits") {
   const std::string text =
       "PUT /x HTTP/1.1\r\nHost: s\r\nConnection: x, Close\r\nTransfer-Encoding: "
