Fix: requests that do not end, and responses that are not read, had no bound in sum

Callers saw: a process passed its memory limit with hundreds of clients that stopped within a request (bodies up to 64 KiB had no budget), and with one client that sent readiness checks at full speed and read no response. Cause: http::BodyBudget began at 64 KiB; each body, head and read-ahead below it was bounded by itself only. FrontEnd answered readiness checks at once however much waited in the output. Freed memory stayed in the heap, so that peaks of different sizes counted together. Change: limits::MemoryBudget bounds each owner (a quarter of memory_mb) and the sum; core::MemoryAccount makes it usable from both threads, and a reservation travels with the request. Beyond 4 KiB each request reserves what it holds. At the bound a request whose client has been silent for 0.5 s makes room (503 and close), else the new one is rejected; requests over 16 KiB leave a quarter to smaller ones. A connection with 32 KiB unwritten is not read, and it gets 32 pieces of input a turn. Bounds that are reached are logged (memory_limit_reached). The heap maps allocations from 32 KiB on one by one and is trimmed. BodyBudget's unit test is replaced by one of the account: the same claims for bound, replacement and release, and the sum, the priorities and moves.

--- a/src/app/initiator.cpp
+++ b/src/app/initiator.cpp
@@ -29,7 +29,12 @@
 // Maximum size of the recorded traffic, bytes; the platform counts files as memory.
 constexpr std::size_t kMaxRecordedBytes = 64 << 20;
 
-// Amount of freed memory that is not returned to the kernel, bytes.
+// Allocations from this size on are mapped one by one, and freed memory at the end of the heap is returned
+// from this amount on, bytes.
+constexpr int kMappedAllocationBytes = 32 << 10;
+constexpr int kTrimmedHeapBytes = 256 << 10;
+
+// Amount of freed memory that is not returned to the kernel with checksummed exports, bytes.
 constexpr int kRetainedHeapBytes = 4 << 20;
 
 loop::EventBasePtr MakeEventBase() {
@@ -40,6 +45,14 @@
   return loop::EventBasePtr(event_base_new());
 }
 
+// Returns freed memory to the kernel soon. Otherwise the heap would keep the peak of each thread and of each
+// size, and these peaks would count together.
+void LimitHeapOverhead() {
+  mallopt(M_ARENA_MAX, 1);
+  mallopt(M_MMAP_THRESHOLD, kMappedAllocationBytes);
+  mallopt(M_TRIM_THRESHOLD, kTrimmedHeapBytes);
+}
+
 // Keeps freed memory in the process. Otherwise the buffer of each journal record and checkpoint would be
 // mapped and unmapped page by page.
 void RetainFreedMemory() {
@@ -62,7 +75,9 @@
     : config_(std::move(config)),
       limits_{config_.sockets, config_.memory_mb},
       base_(MakeEventBase()),
-      submit_([this](core::Input input) { scheduler_->Submit(std::move(input)); }) {
+      submit_([this](core::Input input) { scheduler_->Submit(std::move(input)); }),
+      memory_(config_.memory_bytes()) {
+  LimitHeapOverhead();
   fleet_size_.live_instances = config_.settings.instances;
   fleet_size_.traffic_fraction = config_.settings.traffic_fraction;
   HandleSignals();
@@ -124,7 +139,8 @@
                                             const std::string& body) {
     OnObjectRead(target, uri, good, body);
   };
-  http_front_end_ = std::make_unique<http::FrontEnd>(base_.get(), config_, &request_numbers_, submit_);
+  http_front_end_ =
+      std::make_unique<http::FrontEnd>(base_.get(), config_, &request_numbers_, &memory_, submit_);
 }
 
 // Over HTTP a target has one path, and a digest covers a complete object, which is recorded as block 0.
@@ -322,6 +338,7 @@
 void Initiator::ShareLimits(int processes) {
   config_.sockets = limits_.sockets / processes;
   config_.memory_mb = limits_.memory_mb / processes;
+  memory_.SetProcessLimit(config_.memory_bytes());
   fleet_size_.processes = processes;
 }
 
--- a/src/app/initiator.h
+++ b/src/app/initiator.h
@@ -26,6 +26,7 @@
 #include "checksummed/checksummed_exports.h"
 #include "checksummed/corruption_tracker.h"
 #include "checksummed/scrub.h"
+#include "core/memory_account.h"
 #include "core/port.h"
 #include "core/scheduler_thread.h"
 #include "http/config.h"
@@ -116,6 +117,7 @@
   loop::EventBasePtr base_;
   core::SubmitInput submit_;
   core::RequestNumbers request_numbers_;
+  core::MemoryAccount memory_;
   nbd::Config nbd_;
   std::unique_ptr<pcap::Recorder> recorder_;  // null: nothing is recorded
   std::unique_ptr<http::FrontEnd> http_front_end_;
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -14,9 +14,16 @@
 // Time in which the loop reads what has arrived before the request's timeout, us.
 constexpr Time kUnreadInputTime = 100'000;
 
-// Maximum number of bytes of a streamed response that the client has not read.
+// Maximum number of bytes of a streamed response that the client has not read. Beyond it no further request
+// is read either.
 constexpr std::size_t kMaxUnwrittenBytes = 32 << 10;
 
+// Maximum number of pieces of input that are processed before the loop turns to other connections.
+constexpr int kMaxPiecesPerTurn = 32;
+
+// Memory of each connection's request that needs no reservation, bytes: usual requests fit into it.
+constexpr std::size_t kUnreservedBytes = 4 << 10;
+
 // Pause in reading after a rejected request, us.
 constexpr Time kRejectPause = 50'000;
 
@@ -75,10 +82,27 @@
   // Reading may close and destroy this connection.
   const ClientConnectionHandler* handler = handler_;
   const std::uint64_t number = number_;
-  while (handler->IsOpen(number) && ReadNextChunk()) {
+  for (int piece = 0; piece < kMaxPiecesPerTurn; ++piece) {
+    if (!handler->IsOpen(number) || !ReadNextChunk()) {
+      return;
+    }
+  }
+  if (handler->IsOpen(number) && IsReading()) {
+    read_pause_.Start(0);  // goes on in the loop's next iteration
   }
 }
 
+bool ClientConnection::IsReading() const { return (bufferevent_get_enabled(stream_.get()) & EV_READ) != 0; }
+
+bool ClientConnection::IsOutputFull() const {
+  return loop::UnwrittenBytes(stream_.get()) >= kMaxUnwrittenBytes;
+}
+
+bool ClientConnection::ReserveMemory(std::size_t held_bytes) {
+  const std::size_t bytes = held_bytes > kUnreservedBytes ? held_bytes - kUnreservedBytes : 0;
+  return bytes == request_memory_.bytes() || handler_->ReserveMemory(*this, bytes);
+}
+
 void ClientConnection::ResumeReading() { OnReadable(); }
 
 // Reads input up to the end of one request and returns whether to continue. One request is served at a time:
@@ -94,14 +118,17 @@
   if (is_responding() && loop::BufferedInputBytes(stream_.get()) >= kMaxReadAhead) {
     return DiscardPipelinedInput();
   }
-  const bool paused = (bufferevent_get_enabled(stream_.get()) & EV_READ) == 0;
-  if (is_responding() || paused) {
+  if (is_responding()) {
+    return !ReserveMemory(loop::BufferedInputBytes(stream_.get())) && DiscardPipelinedInput();
+  }
+  if (!IsReading() || IsOutputFull()) {
     return false;
   }
   if (!reader_.started() && requests_read_ > 0) {
     request_timeout_.Start(timeouts_.request);
   }
   idle_timeout_.Stop();
+  last_input_at_ = core::Now();
   loop::DrainInput(stream_.get(), reader_.Feed(chunk));
   OnRequestProgress();
   return true;
@@ -128,10 +155,8 @@
   if (reader_.head_complete() && !std::exchange(is_head_read_, true)) {
     request_timeout_.Start(timeouts_.request);
   }
-  const std::size_t size = reader_.declared_body_bytes();
-  if (size > kProtocolBodyBytes && !handler_->ReserveBody(*this, size)) {
-    close_after_response_ = true;  // the remaining body follows
-    Reject({kStatusUnavailable, "no memory for the body"});
+  if (!ReserveMemory(reader_.held_bytes())) {
+    RejectForMemory();
     return;
   }
   if (reader_.malformed()) {
@@ -146,6 +171,11 @@
   }
 }
 
+void ClientConnection::RejectForMemory() {
+  close_after_response_ = true;  // the rest of the request follows
+  Reject({kStatusUnavailable, "no memory for the request"});
+}
+
 // Discards input that arrives after the last response; returns whether to continue. Closing a connection with
 // unread bytes would reset it before the client has read its response.
 bool ClientConnection::DiscardInputAfterClose(std::size_t size) {
@@ -181,6 +211,7 @@
   if (std::exchange(has_unwritten_response_, false)) {
     OnResponseWritten();
   }
+  ResumeReading();  // it may have stopped because the output was full
 }
 
 // Begins the wait that follows a response. Before all of it is written, a client that reads slowly would lose
@@ -277,6 +308,7 @@
   close_after_response_ =
       close_after_response_ || shutdown_.closes_after_response() || !reader_.keeps_alive();
   reader_ = MessageReader(MessageReader::Kind::kRequest, kMaxRequestBodyBytes);
+  request_memory_.Release();
   is_head_read_ = false;
   body_bytes_checked_ = 0;
   timeout_extended_ = false;
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "core/engine.h"
+#include "core/memory_account.h"
 #include "frontend/eviction_policy.h"
 #include "frontend/shutdown_sequence.h"
 #include "http/body_stream.h"
@@ -31,8 +32,8 @@
   virtual void OnRequest(ClientConnection& client) = 0;
   // Closes and destroys the connection. Does nothing if it is already closed.
   virtual void Close(ClientConnection& client) = 0;
-  // Reserves memory for the body of the current request. Returns whether there is enough.
-  virtual bool ReserveBody(ClientConnection& client, std::size_t bytes) = 0;
+  // Changes the memory that client.request_memory() reserves to `bytes`. Returns whether there is enough.
+  virtual bool ReserveMemory(ClientConnection& client, std::size_t bytes) = 0;
   // Returns whether the connection with this number still exists.
   virtual bool IsOpen(std::uint64_t connection_number) const = 0;
 
@@ -95,6 +96,8 @@
   std::uint64_t number() const { return number_; }
   bufferevent* stream() const { return stream_.get(); }
   bool closing() const { return closing_; }
+  // Returns whether a request has no complete response yet.
+  bool is_responding() const { return pending_request_ != 0 || body_ != nullptr; }
   // Returns whether there is no pending request and no byte of a request or response is buffered.
   bool IsIdle() const;
   // Returns whether the kernel holds unread bytes of the connection.
@@ -112,6 +115,17 @@
   // Clears the pending request, before its response is sent.
   void ClearPendingRequest();
 
+  // The memory that is reserved for the request that is being received and for input behind it.
+  core::MemoryReservation& request_memory() { return request_memory_; }
+  // Returns the reservation for a complete request; input behind it gets a new one.
+  core::MemoryReservation TakeRequestMemory() { return request_memory_.Split(); }
+  // Returns whether a request is incomplete and holds reserved memory.
+  bool holds_request_memory() const { return !closing_ && !is_responding() && request_memory_.bytes() > 0; }
+  // Returns when the last bytes were read, us.
+  Time last_input_at() const { return last_input_at_; }
+  // Rejects the incomplete request to free its memory, and closes the connection.
+  void RejectForMemory();
+
   // Callbacks of the stream.
   void OnReadable();
   void OnWritten();
@@ -120,12 +134,14 @@
  private:
   frontend::EvictionRank eviction_rank() const;
   bool ReadNextChunk();
+  bool IsReading() const;
+  // Returns whether enough responses wait to be written that no further request is read.
+  bool IsOutputFull() const;
+  bool ReserveMemory(std::size_t held_bytes);
   bool DiscardInputAfterClose(std::size_t size);
   bool DiscardPipelinedInput();
   void OnRequestProgress();
   void OnRequestTimeout();
-  // Returns whether a request has no complete response yet.
-  bool is_responding() const { return pending_request_ != 0 || body_ != nullptr; }
   // The steps of a response before its head is passed to the stream, after its last byte is, and when all of
   // it is written.
   void BeginResponse();
@@ -144,8 +160,10 @@
   ClientTimeouts timeouts_;
   std::uint64_t number_;
   MessageReader reader_{MessageReader::Kind::kRequest, kMaxRequestBodyBytes};
+  core::MemoryReservation request_memory_;
   core::RequestNumber pending_request_ = 0;
   Time last_active_;                     // when the last response was sent, or else when the client connected
+  Time last_input_at_ = 0;               // when the last bytes were read
   std::uint64_t requests_read_ = 0;      // complete requests
   bool is_head_read_ = false;            // of the current request
   bool timeout_extended_ = false;        // the request's timeout was extended to read what had arrived
--- a/src/http/front_end.cpp
+++ b/src/http/front_end.cpp
@@ -7,6 +7,8 @@
 #include <variant>
 
 #include "core/scheduler_thread.h"
+#include "frontend/stalled_request.h"
+#include "http/memory_log.h"
 #include "http/messages.h"
 
 namespace walnutspur::http {
@@ -37,8 +39,8 @@
 // Responses that clients have not read yet may use the process's memory limit divided by this number.
 constexpr std::size_t kUnreadMemoryDivisor = 4;
 
-// Large request bodies may use the process's memory limit divided by this number.
-constexpr std::size_t kRequestBodyMemoryDivisor = 4;
+// Requests that hold more than this may not use all memory for requests, bytes.
+constexpr std::size_t kSmallRequestBytes = 16 << 10;
 
 // Ends the stream of a response that has no client any more.
 void AbandonStream(const core::Response& response) {
@@ -51,10 +53,11 @@
 }  // namespace
 
 FrontEnd::FrontEnd(event_base* base, const Config& config, core::RequestNumbers* request_numbers,
-                   core::SubmitInput submit)
+                   core::MemoryAccount* memory, core::SubmitInput submit)
     : base_(base),
       config_(config),
       request_numbers_(request_numbers),
+      memory_(memory),
       submit_(std::move(submit)),
       shutdown_(kShutdownLimits),
       eviction_(kEvictionLimits),
@@ -116,6 +119,7 @@
   ClientConnectionHandler* handler = this;
   auto& client = clients_[number];
   client = std::make_unique<ClientConnection>(base_, number, std::move(stream), handler, shutdown_);
+  client->request_memory() = core::MemoryReservation(memory_, limits::MemoryOwner::kHttpRequests);
   client->SetTimeInBacklog(listener_.MaxBacklogWait());
   if (on_accept) {
     on_accept(client->stream());
@@ -146,7 +150,7 @@
     RespondToReadinessCheck(client);
     return;
   }
-  Admission admission = AdmitRequest(config_, client.message());
+  Admission admission = AdmitRequest(config_, client.message(), client.TakeRequestMemory());
   if (const auto* rejection = std::get_if<Rejection>(&admission)) {
     client.Reject(*rejection);
     return;
@@ -186,7 +190,6 @@
   }
   ClientConnection& client = *clients_.at(pending->origin);
   client.ClearPendingRequest();
-  body_budget_.Release(client.number());
   shutdown_.OnResponse(pending->latency);
   switch (response.status) {
     case core::ResponseStatus::kServed:
@@ -234,8 +237,25 @@
   return size <= config_.memory_bytes() / kUnreadMemoryDivisor;
 }
 
-bool FrontEnd::ReserveBody(ClientConnection& client, std::size_t bytes) {
-  return body_budget_.Reserve(client.number(), bytes, config_.memory_bytes() / kRequestBodyMemoryDivisor);
+// Large requests leave memory to small ones. If the memory for requests is used up, requests whose clients
+// have stopped in the middle make room. A large request does not displace others, since it would need the
+// memory of many, and neither does read-ahead.
+bool FrontEnd::ReserveMemory(ClientConnection& client, std::size_t bytes) {
+  const bool is_small = std::max(bytes, client.message().declared_body_bytes()) <= kSmallRequestBytes;
+  const auto priority = is_small ? limits::MemoryPriority::kNormal : limits::MemoryPriority::kLow;
+  while (!client.request_memory().Resize(bytes, priority)) {
+    const bool may_displace = !client.is_responding() && bytes <= kProtocolBodyBytes;
+    ClientConnection* stalled = may_displace ? frontend::ChooseStalled(clients_, core::Now()) : nullptr;
+    if (stalled == nullptr || stalled == &client) {
+      LogMemoryLimit(*memory_, limits::MemoryOwner::kHttpRequests,
+                     client.is_responding() ? "read_ahead_dropped" : "request_rejected", client.number());
+      return false;
+    }
+    LogMemoryLimit(*memory_, limits::MemoryOwner::kHttpRequests, "stalled_request_rejected",
+                   stalled->number());
+    stalled->RejectForMemory();
+  }
+  return true;
 }
 
 bool FrontEnd::IsClientConnected(core::RequestNumber request) {
@@ -258,7 +278,6 @@
   }
   const std::unique_ptr<ClientConnection> closed = std::move(at->second);
   clients_.erase(at);
-  body_budget_.Release(closed->number());
   pending_.RemoveDisconnected(closed->pending_request());
 }
 
--- a/src/http/front_end.h
+++ b/src/http/front_end.h
@@ -13,11 +13,11 @@
 #include <string>
 #include <unordered_map>
 
+#include "core/memory_account.h"
 #include "core/port.h"
 #include "frontend/eviction_policy.h"
 #include "frontend/pending_requests.h"
 #include "frontend/shutdown_sequence.h"
-#include "http/body_budget.h"
 #include "http/client_connection.h"
 #include "http/config.h"
 #include "http/messages.h"
@@ -30,10 +30,10 @@
 
 class FrontEnd : public core::FrontEnd, private ClientConnectionHandler {
  public:
-  // Listens on the config's address; throws loop::ListenError or loop::AddressError. `config` and
-  // `request_numbers` must outlive the front end.
+  // Listens on the config's address; throws loop::ListenError or loop::AddressError. `config`,
+  // `request_numbers` and `memory` must outlive the front end, and `memory` its requests too.
   FrontEnd(event_base* base, const Config& config, core::RequestNumbers* request_numbers,
-           core::SubmitInput submit);
+           core::MemoryAccount* memory, core::SubmitInput submit);
   ~FrontEnd() override;
   FrontEnd(const FrontEnd&) = delete;
   FrontEnd& operator=(const FrontEnd&) = delete;
@@ -65,7 +65,7 @@
  private:
   void OnRequest(ClientConnection& client) override;
   void Close(ClientConnection& client) override;
-  bool ReserveBody(ClientConnection& client, std::size_t bytes) override;
+  bool ReserveMemory(ClientConnection& client, std::size_t bytes) override;
   bool IsOpen(std::uint64_t connection_number) const override { return clients_.contains(connection_number); }
 
   loop::ListenerCallbacks MakeListenerCallbacks();
@@ -80,6 +80,7 @@
   event_base* base_;
   const Config& config_;
   core::RequestNumbers* request_numbers_;
+  core::MemoryAccount* memory_;
   core::SubmitInput submit_;
   bool ready_ = false;
   frontend::ShutdownSequence shutdown_;
@@ -87,8 +88,7 @@
   std::size_t max_connections_ = 1;
   std::uint64_t next_connection_ = 1;
   std::unordered_map<std::uint64_t, std::unique_ptr<ClientConnection>> clients_;  // by number
-  BodyBudget body_budget_;
-  frontend::PendingRequests<std::uint64_t> pending_;  // by connection number
+  frontend::PendingRequests<std::uint64_t> pending_;                              // by connection number
   loop::IterationClock turn_clock_;
   loop::Listener listener_;
   loop::EventHandle close_listener_timer_;  // while connections that are being established arrive
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "core/engine.h"
+#include "core/memory_account.h"
 #include "http/body_stream.h"
 #include "http/config.h"
 #include "http/message_reader.h"
@@ -25,6 +26,7 @@
   std::string body;
   std::string headers;  // lines to forward, each with CR LF: idempotency key, digest fields
   std::optional<integrity::Algorithm> wanted_digest;  // the digest that the client requests
+  core::MemoryReservation memory;
 };
 
 // The response of a target that has completed a request.
--- a/src/http/request_admission.cpp
+++ b/src/http/request_admission.cpp
@@ -80,7 +80,7 @@
 
 }  // namespace
 
-Admission AdmitRequest(const Config& config, MessageReader& message) {
+Admission AdmitRequest(const Config& config, MessageReader& message, core::MemoryReservation memory) {
   if (message.method() != "GET" && message.method() != "PUT") {
     return Rejection{kStatusMethodNotAllowed, "a read is a GET, a write is a PUT"};
   }
@@ -88,6 +88,7 @@
     return Rejection{kStatusBadRequest, *repeated + " stands there more than once"};
   }
   std::shared_ptr<Request> payload = TakePayload(message);
+  payload->memory = std::move(memory);
   if (config.digests.on && !ForwardDigests(config, message, payload.get())) {
     return Rejection{kStatusBadRequest, "the digest is not that of the content"};
   }
--- a/src/http/request_admission.h
+++ b/src/http/request_admission.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "core/engine.h"
+#include "core/memory_account.h"
 #include "http/config.h"
 #include "http/message_reader.h"
 #include "http/response_text.h"
@@ -20,8 +21,8 @@
 
 using Admission = std::variant<AdmittedRequest, Rejection>;
 
-// Validates the message and moves its body into the request.
-Admission AdmitRequest(const Config& config, MessageReader& message);
+// Validates the message and moves its body, and the reservation of its memory, into the request.
+Admission AdmitRequest(const Config& config, MessageReader& message, core::MemoryReservation memory = {});
 
 }  // namespace walnutspur::http
 
--- a/src/log/event_kinds.h
+++ b/src/log/event_kinds.h
@@ -20,6 +20,10 @@
 constexpr std::string_view kHandoverListRejected = "handover_list_rejected";
 constexpr std::string_view kProcessCountChanged = "process_count_changed";
 
+// Memory that clients, targets and discovery make the process hold.
+constexpr std::string_view kMemoryLimitReached = "memory_limit_reached";
+constexpr std::string_view kTableLimitReached = "table_limit_reached";
+
 // Discovery.
 constexpr std::string_view kDiscoveryWatchEnded = "discovery_watch_ended";
 constexpr std::string_view kEndpointListReceived = "endpoint_list_received";
@@ -52,7 +56,8 @@
     kCorruptionLogRejected, kDirectoryWritable,     kDirectoryWriteFailed,    kExportAttachFailed,
     kScrubRestarted,        kTargetRejected,        kFleetConvergenceChanged, kFleetMemberChanged,
     kFleetNameRejected,     kConfigurationReloaded, kClientsHandedOver,       kHandoverFailed,
-    kHandoverListRejected,  kProcessCountChanged,   kNbdClientEnded};
+    kHandoverListRejected,  kProcessCountChanged,   kNbdClientEnded,          kMemoryLimitReached,
+    kTableLimitReached};
 
 }  // namespace walnutspur::log
 
--- a/tests/net/client_connection_test.cpp
+++ b/tests/net/client_connection_test.cpp
@@ -126,7 +126,7 @@
   // ClientConnectionHandler
   void OnRequest(ClientConnection&) override { requested_ = true; }
   void Close(ClientConnection&) override { connection_.reset(); }
-  bool ReserveBody(ClientConnection&, std::size_t) override { return true; }
+  bool ReserveMemory(ClientConnection&, std::size_t) override { return true; }
   bool IsOpen(std::uint64_t) const override { return is_open(); }
 
  private:
--- a/tests/net/misbehaving_client_test.cpp
+++ b/tests/net/misbehaving_client_test.cpp
@@ -193,7 +193,8 @@
   config.listen = loop::ParseAddress("127.0.0.1:0");
   config.sockets = 4;  // enough for one client
   core::RequestNumbers request_numbers;
-  http::FrontEnd front(base.get(), config, &request_numbers, [](core::Input) {});
+  core::MemoryAccount memory(config.memory_bytes());
+  http::FrontEnd front(base.get(), config, &request_numbers, &memory, [](core::Input) {});
   front.on_accept = [](bufferevent*) { std::this_thread::sleep_for(std::chrono::milliseconds(60)); };
   Socket first = Socket::Connect(front.port());
   first.Send(kReadinessRequest);
--- a/tests/unit/body_stream_test.cpp
+++ b/tests/unit/body_stream_test.cpp
@@ -6,8 +6,8 @@
 
 #include <string>
 
+#include "core/memory_account.h"
 #include "decision/object_locations.h"
-#include "http/body_budget.h"
 #include "http/messages.h"
 #include "http/response_text.h"
 
@@ -72,19 +72,43 @@
   CHECK(abandoned == 1);
 }
 
-TEST_CASE("body budget: reservations are bounded together, replaced per connection and released") {
-  http::BodyBudget budget;
-  CHECK(budget.Reserve(1, 60, 100));
-  CHECK_FALSE(budget.Reserve(2, 50, 100));
-  CHECK(budget.Reserve(2, 40, 100));
-  CHECK(budget.Reserve(1, 50, 100));
-  CHECK(budget.Reserve(2, 50, 100));
-  CHECK_FALSE(budget.Reserve(1, 51, 100));
-  CHECK(budget.total() == 100);
-  budget.Release(1);
-  budget.Release(1);
-  CHECK(budget.total() == 50);
-  CHECK_FALSE(budget.Reserve(3, 101, 100));
+TEST_CASE("memory account: reservations are bounded by owner and in sum, resized, moved and released") {
+  using limits::MemoryOwner;
+  constexpr std::size_t kProcessBytes = 32 << 20;
+  core::MemoryAccount account(kProcessBytes);
+  const std::size_t share = account.budget().owner_limit();
+  const std::size_t sum = account.budget().total_limit();
+  CHECK(share == kProcessBytes / 4);
+  CHECK(sum < 2 * share);
+  core::MemoryReservation first(&account, MemoryOwner::kHttpRequests);
+  core::MemoryReservation second(&account, MemoryOwner::kHttpRequests);
+  core::MemoryReservation other(&account, MemoryOwner::kHttpResponses);
+  CHECK(first.Resize(share - 40));
+  CHECK_FALSE(second.Resize(41));
+  CHECK(second.Resize(40));
+  CHECK(first.Resize(share - 50));
+  CHECK(second.Resize(50));
+  CHECK_FALSE(first.Resize(share - 49));
+  CHECK_FALSE(other.Resize(sum - share + 1));
+  CHECK(other.Resize(sum - share));
+  CHECK(account.budget().total() == sum);
+  {
+    const core::MemoryReservation moved = first.Split();
+    CHECK(first.bytes() == 0);
+    CHECK(account.budget().total() == sum);
+  }
+  CHECK(account.budget().used(MemoryOwner::kHttpRequests) == 50);
+  CHECK(first.Resize(1));
+  first.Release();
+  first.Release();
+  CHECK(account.budget().used(MemoryOwner::kHttpRequests) == 50);
+  CHECK(first.Resize(share / 4 * 3 - 50, limits::MemoryPriority::kLow));
+  CHECK_FALSE(first.Resize(share / 4 * 3 - 49, limits::MemoryPriority::kLow));
+  first.Release();
+  account.SetProcessLimit(0);
+  CHECK_FALSE(second.Resize(51));
+  CHECK(second.Resize(49));
+  CHECK_FALSE(core::MemoryReservation().Resize(1));
 }
 
 TEST_CASE("response text: a streamed body has its length, chunks, or the end of the connection") {
