Fix: a write ran again when its id came again after its client had left

Callers saw: an id reached a target twice when it came again after its client had closed the connection. Cause: Engine kept a client's id only while an attempt was in flight. A disconnect cancels the attempt, which may have run; then the id was free at once, and the request was sent again. Change: the ids of requests that may have run and whose class is not idempotent are kept for 60 s (limits::ExpiringIds) and answered with 409. The table is bounded by the memory limit (Settings::tables); beyond that the oldest id is forgotten and the event logged (table_limit_reached). The engine's test claimed that the id is free once the attempt is cancelled, which is the fault itself. It is replaced by one that claims this for attempts that never ran and for idempotent classes only, and the 409 for the rest.

--- a/include/walnutspur/settings.h
+++ b/include/walnutspur/settings.h
@@ -5,6 +5,7 @@
 #ifndef WALNUTSPUR_SETTINGS_H_
 #define WALNUTSPUR_SETTINGS_H_
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -56,6 +57,14 @@
   double retry_budget_minimum = 0;           // retries allowed in addition
 };
 
+// Bounds of the tables that are keyed by names from outside.
+struct TableLimits {
+  std::size_t max_flows = 24'576;  // pairs of a volume and a shard; also the maximum of volumes and keys
+  std::size_t max_request_ids = 49'152;  // ids of requests that may have run
+
+  bool operator==(const TableLimits&) const = default;
+};
+
 // Settings of one Scheduler.
 struct Settings {
   int instances = 1;  // initiators that share the targets
@@ -81,6 +90,7 @@
   Time usage_report_interval = 0;  // us between usage reports of a volume; 0: responses carry none
   bool reports_remote_usage = false;            // responses state the units served for other initiators
   std::vector<std::string> load_report_fields;  // names of the values in a load report, in order
+  TableLimits tables;
 };
 
 }  // namespace walnutspur
--- a/src/app/output_dispatcher.cpp
+++ b/src/app/output_dispatcher.cpp
@@ -1,8 +1,12 @@
 #include "app/output_dispatcher.h"
 
+#include <string>
 #include <utility>
 #include <variant>
 
+#include "log/event_kinds.h"
+#include "log/log.h"
+
 namespace walnutspur::app {
 
 OutputDispatcher::OutputDispatcher(event_base* base, const OutputDestinations& destinations,
@@ -100,4 +104,12 @@
   destinations_.on_cordon_result(output);
 }
 
+void OutputDispatcher::Execute(const core::TableLimitReached& output) const {
+  const bool are_flows = output.table == core::LimitedTable::kFlows;
+  log::Event(log::Level::kWarn, log::kTableLimitReached,
+             {{"table", are_flows ? "volumes" : "request_ids"},
+              {"entries", std::to_string(output.entries)},
+              {"outcome", are_flows ? "request_rejected" : "oldest_forgotten"}});
+}
+
 }  // namespace walnutspur::app
--- a/src/app/output_dispatcher.h
+++ b/src/app/output_dispatcher.h
@@ -50,6 +50,7 @@
   void Execute(const core::OpenWatch& output) const;
   void Execute(const core::StartHealthCheck& output) const;
   void Execute(const core::CordonResult& output) const;
+  void Execute(const core::TableLimitReached& output) const;
   core::FrontEnd& FrontEndOf(core::Protocol protocol) const;
   core::Connector& ConnectorOf(core::Protocol protocol) const;
 
--- a/src/app/platform.cpp
+++ b/src/app/platform.cpp
@@ -13,6 +13,10 @@
 namespace walnutspur::app {
 namespace {
 
+// Memory of the process for each entry of its tables of flows and of request ids, bytes.
+constexpr std::size_t kMemoryPerFlow = 8 << 10;
+constexpr std::size_t kMemoryPerRequestId = 4 << 10;
+
 using nlohmann::json;
 
 constexpr int kSeedBase = 16;
@@ -86,6 +90,12 @@
   }
 }
 
+// Returns the bounds of tables whose entries together may use about an eighth and a thirty-second of the
+// memory.
+TableLimits TableLimitsFor(std::size_t memory_bytes) {
+  return {.max_flows = memory_bytes / kMemoryPerFlow, .max_request_ids = memory_bytes / kMemoryPerRequestId};
+}
+
 // Sets what the configuration leaves to the environment.
 void ReadEnvironment(http::Config* config) {
   const char* management = std::getenv("BALANCER_MANAGEMENT");
@@ -110,6 +120,7 @@
   config.sockets = limits.value("sockets", config.sockets);
   config.memory_mb = limits.value("memory_mb", config.memory_mb);
   ParseSettings(document.at("settings"), &config);
+  config.settings.tables = TableLimitsFor(config.memory_bytes());
   config.cached_list = document.value("known", json());
   return config;
 }
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -6,7 +6,15 @@
 #include <utility>
 #include <variant>
 
+#include "decision/request.h"
+
 namespace walnutspur::core {
+namespace {
+
+// Time for which the id of a request that may have run is kept, us: longer than any client waits.
+constexpr Time kRequestIdLifetime = 60'000'000;
+
+}  // namespace
 
 Engine::Engine(const Settings& settings, std::uint64_t seed) : Engine(settings, DecisionFunction()) {
   scheduler_ = std::make_unique<Scheduler>(settings, seed);
@@ -15,16 +23,20 @@
   };
 }
 
-Engine::Engine(const Settings& settings, DecisionFunction decide) : decide_(std::move(decide)) {
+Engine::Engine(const Settings& settings, DecisionFunction decide)
+    : decide_(std::move(decide)), executed_ids_(kRequestIdLifetime) {
   ReadSettings(settings);
 }
 
 void Engine::ReadSettings(const Settings& settings) {
   max_attempts_ = settings.max_attempts;
   latency_objectives_.clear();
+  are_idempotent_.clear();
   for (const RequestClass& request_class : settings.classes) {
     latency_objectives_.push_back(request_class.latency_objective);
+    are_idempotent_.push_back(request_class.idempotency == Idempotency::kIdempotent);
   }
+  executed_ids_.set_max_size(settings.tables.max_request_ids);
 }
 
 std::vector<Output> Engine::Start(Time now) {
@@ -54,8 +66,10 @@
 
 void Engine::HandleInput(const RequestReceived& input) {
   // A client's request id stays in use until the last attempt of the request has an outcome: a target that
-  // received the same id from two requests could not distinguish them.
-  if (!input.client_request_id.empty() && !client_request_ids_.insert(input.client_request_id).second) {
+  // received the same id from two requests could not distinguish them. After that it must not run again
+  // either, unless its class allows that or no attempt has run.
+  const std::string& id = input.client_request_id;
+  if (!id.empty() && (executed_ids_.Contains(id, now_) || !client_request_ids_.insert(id).second)) {
     outputs_.emplace_back(Response{input.request, input.protocol, ResponseStatus::kDuplicate, 0, nullptr});
     return;
   }
@@ -68,6 +82,7 @@
   const Time objective =
       request_class < latency_objectives_.size() ? latency_objectives_[request_class] : Time{0};
   request.objective_deadline = now_ + objective;
+  request.is_idempotent = request_class >= are_idempotent_.size() || are_idempotent_[request_class];
   if (!requests_.emplace(input.request, std::move(request)).second) {
     return;
   }
@@ -200,6 +215,7 @@
   finished.load_report = input.load_report;
   request.open_attempts.erase(attempt);
   --open_attempts_;
+  request.may_have_run = request.may_have_run || decision::MayHaveRun(input.outcome);
   if (input.outcome == Outcome::kCorrupted) {
     request.partial_payload = input.payload;
   }
@@ -311,7 +327,17 @@
     return;
   }
   client_request_ids_.erase(request.client_request_id);
+  RememberId(request);
   requests_.erase(position);
 }
 
+void Engine::RememberId(const RequestState& request) {
+  if (request.client_request_id.empty() || request.is_idempotent || !request.may_have_run) {
+    return;
+  }
+  if (executed_ids_.Add(request.client_request_id, now_)) {
+    outputs_.emplace_back(TableLimitReached{LimitedTable::kRequestIds, executed_ids_.size()});
+  }
+}
+
 }  // namespace walnutspur::core
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -20,6 +20,7 @@
 
 #include "core/messages.h"
 #include "decision/cordon_table.h"
+#include "limits/expiring_ids.h"
 #include "walnutspur/scheduler.h"
 
 namespace walnutspur::core {
@@ -48,7 +49,7 @@
   // use.
   std::size_t table_entries() const {
     return (scheduler_ ? scheduler_->table_entries() : 0) + requests_.size() + client_request_ids_.size() +
-           active_targets_.size() + pending_events_.size() + cordons_.table_entries();
+           executed_ids_.size() + active_targets_.size() + pending_events_.size() + cordons_.table_entries();
   }
 
  private:
@@ -58,6 +59,8 @@
     Time deadline = 0;  // us
     PayloadRef payload;
     bool finished = false;                  // a response was sent, or the client has disconnected
+    bool is_idempotent = true;              // may run again under the same id
+    bool may_have_run = false;              // an attempt has ended without proof that it never ran
     Time objective_deadline = 0;            // latest time of a response within the latency objective, us
     PayloadRef partial_payload;             // intact part of the latest corrupted response
     int attempts = 0;                       // number of the next attempt
@@ -100,16 +103,20 @@
   void SendResponse(RequestNumber number, ResponseStatus status, Time retry_after, PayloadRef payload);
   // Removes a request that is finished and has no attempt without an outcome.
   void EraseIfClosed(RequestNumber number);
+  // Keeps the id of a request that must not run again.
+  void RememberId(const RequestState& request);
   RequestTable::iterator FindRequest(const RequestId& id);
 
   std::unique_ptr<Scheduler> scheduler_;  // null if the caller passed a decision function
   DecisionFunction decide_;
   int max_attempts_ = 1;
   std::vector<Time> latency_objectives_;  // us, by request class
+  std::vector<bool> are_idempotent_;      // by request class
   std::size_t open_attempts_ = 0;         // attempts without an outcome, of all requests
   Time now_ = 0;                          // time of the current input, us
   RequestTable requests_;
   std::set<std::string> client_request_ids_;  // ids of the open requests
+  limits::ExpiringIds executed_ids_;          // ids of requests that may have run and must not run again
   std::set<TargetId> active_targets_;
   decision::CordonTable cordons_;
   std::vector<Output> outputs_;        // caused by the current input
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -6,6 +6,7 @@
 #ifndef WALNUTSPUR_CORE_MESSAGES_H_
 #define WALNUTSPUR_CORE_MESSAGES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -147,8 +148,15 @@
   bool cordoned = true;
   bool is_known = true;  // false: no endpoint list has ever contained the target, and nothing was changed
 };
+// A table keyed by names from outside was full. kFlows: a request was rejected. kRequestIds: the oldest id
+// was forgotten.
+enum class LimitedTable { kFlows, kRequestIds };
+struct TableLimitReached {
+  LimitedTable table = LimitedTable::kFlows;
+  std::size_t entries = 0;
+};
 using Output = std::variant<StartAttempt, AbortAttempt, DrainTarget, ActivateTarget, Response, ArmTimer,
-                            OpenWatch, StartHealthCheck, CordonResult>;
+                            OpenWatch, StartHealthCheck, CordonResult, TableLimitReached>;
 
 }  // namespace walnutspur::core
 
--- a/src/lab/sim/initiator_fleet.h
+++ b/src/lab/sim/initiator_fleet.h
@@ -69,6 +69,7 @@
   void Execute(int, const core::ActivateTarget&) {}
   void Execute(int, const core::OpenWatch&) {}
   void Execute(int, const core::CordonResult&) {}
+  void Execute(int, const core::TableLimitReached&) {}
 
   // Sends an attempt to a server that exists, through the network.
   void SendToServer(int number, const StorageServer& server, AttemptDelivered delivery);
--- a/tests/net/engine_test.cpp
+++ b/tests/net/engine_test.cpp
@@ -113,8 +113,20 @@
 }
 
 TEST_CASE(
-    "Engine: a client request id is rejected as duplicate while an attempt is in flight, and no longer") {
-  EngineFixture fixture(Idempotency::kNotIdempotent);
+    "Engine: a client request id is rejected as duplicate while an attempt is in flight or may have run") {
+  Idempotency idempotency = Idempotency::kNotIdempotent;
+  Outcome outcome = Outcome::kCancelled;
+  bool is_repeat_rejected = true;
+  SUBCASE("not idempotent, may have run") {}
+  SUBCASE("not idempotent, never ran") {
+    outcome = Outcome::kConnectFailed;
+    is_repeat_rejected = false;
+  }
+  SUBCASE("idempotent, may have run") {
+    idempotency = Idempotency::kIdempotent;
+    is_repeat_rejected = false;
+  }
+  EngineFixture fixture(idempotency);
   const auto arrive = [&](core::RequestNumber request_number) {
     core::RequestReceived arrived;
     arrived.request = request_number;
@@ -133,11 +145,30 @@
   arrive(2);
   CHECK(repeated());
   CHECK(fixture.OutputsOf<core::StartAttempt>().size() == 1);
-  fixture.FinishAttempt(0, Outcome::kCancelled);
+  fixture.FinishAttempt(0, outcome);
   fixture.outputs.clear();
   arrive(3);
-  CHECK_FALSE(repeated());
-  CHECK(fixture.OutputsOf<core::StartAttempt>().size() == 1);
+  CHECK(repeated() == is_repeat_rejected);
+  CHECK(fixture.OutputsOf<core::Response>().empty() != is_repeat_rejected);
+  fixture.outputs.clear();
+  fixture.now += 61'000 * kMs;
+  fixture.Handle(core::TimerExpired{0});
+  if (is_repeat_rejected) {
+    arrive(4);
+    CHECK_FALSE(repeated());
+  }
+}
+
+TEST_CASE("ExpiringIds: ids are kept for their time, and beyond the maximum the oldest is forgotten") {
+  limits::ExpiringIds ids(10 * kMs);
+  ids.set_max_size(2);
+  CHECK_FALSE(ids.Add("a", 0));
+  CHECK_FALSE(ids.Add("b", 5 * kMs));
+  CHECK(ids.Add("c", 5 * kMs));
+  CHECK_FALSE(ids.Contains("a", 5 * kMs));
+  CHECK(ids.Contains("b", 14 * kMs));
+  CHECK_FALSE(ids.Contains("b", 15 * kMs));
+  CHECK(ids.size() == 0);
 }
 
 TEST_CASE("Engine: attempts are numbered in order, and a request has one response") {
