Fix: volumes under ever new names grew without bound and slowed every dispatch

Callers saw: memory grew while one client sent requests for ever new volumes, and other clients got their answers late or were rejected. Cause: volumes and flows are kept for 30 s whatever their number; each flow had a deque (576 bytes, empty) for each class, shards without a flow stayed, and SelectNext went through all flows of a shard, also those without a queued request. Change: Settings::tables bounds flows, volumes and ordered keys by the memory limit. A full table gives up an eighth, those idle the longest, once per 20 ms at most; volumes whose limit could not fill are kept, and then the request is rejected (table_limit_reached). Dispatch visits flows with queued requests only, in the same order as before; empty queues take no memory.

--- a/include/walnutspur/actions.h
+++ b/include/walnutspur/actions.h
@@ -20,10 +20,14 @@
   Time not_after = 0;
 };
 
+// Why a request is rejected. kTableFull: the tables have no room for its volume or key.
+enum class RejectionReason { kLoad, kTableFull };
+
 // Sends the final response "rejected": the request was not executed, or the client can safely retry it.
 struct RejectRequest {
   RequestId id;
   Time retry_after = 0;  // us after which the client may retry; 0: not stated
+  RejectionReason reason = RejectionReason::kLoad;
 };
 
 // Sends the final response "failed": whether the request was executed is unknown.
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -36,6 +36,7 @@
     latency_objectives_.push_back(request_class.latency_objective);
     are_idempotent_.push_back(request_class.idempotency == Idempotency::kIdempotent);
   }
+  max_flows_ = settings.tables.max_flows;
   executed_ids_.set_max_size(settings.tables.max_request_ids);
 }
 
@@ -269,6 +270,9 @@
     return;
   }
   const RequestNumber number = position->first;
+  if (action.reason == RejectionReason::kTableFull) {
+    outputs_.emplace_back(TableLimitReached{LimitedTable::kFlows, max_flows_});
+  }
   SendResponse(number, ResponseStatus::kRejected, action.retry_after, position->second.partial_payload);
   EraseIfClosed(number);
 }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -112,8 +112,9 @@
   int max_attempts_ = 1;
   std::vector<Time> latency_objectives_;  // us, by request class
   std::vector<bool> are_idempotent_;      // by request class
-  std::size_t open_attempts_ = 0;         // attempts without an outcome, of all requests
-  Time now_ = 0;                          // time of the current input, us
+  std::size_t max_flows_ = 0;
+  std::size_t open_attempts_ = 0;  // attempts without an outcome, of all requests
+  Time now_ = 0;                   // time of the current input, us
   RequestTable requests_;
   std::set<std::string> client_request_ids_;  // ids of the open requests
   limits::ExpiringIds executed_ids_;          // ids of requests that may have run and must not run again
--- a/src/decision/dispatch.cpp
+++ b/src/decision/dispatch.cpp
@@ -64,7 +64,7 @@
 
 // Returns the first request of a queue that may be sent to the target, if throttle and volume limit cover it.
 std::optional<Candidate> FindCandidate(SchedulerState& state, const TargetState& target, Flow& flow,
-                                       const std::deque<RequestRef>& queue) {
+                                       const RequestQueue& queue) {
   const auto found = std::find_if(queue.begin(), queue.end(), [&](const RequestRef& queued) {
     return MayAttempt(state, target, *queued);
   });
@@ -89,9 +89,9 @@
 
 std::optional<Candidate> SelectNext(SchedulerState& state, const TargetState& target, ShardFlows& flows) {
   std::optional<Candidate> best;
-  for (auto& [number, flow] : flows.by_volume) {
-    for (const auto& queue : flow.queues) {
-      const std::optional<Candidate> candidate = FindCandidate(state, target, flow, queue);
+  for (const auto& [number, flow] : flows.waiting) {
+    for (const auto& queue : flow->queues) {
+      const std::optional<Candidate> candidate = FindCandidate(state, target, *flow, queue);
       if (candidate && (!best || candidate->Precedes(*best))) {
         best = candidate;
       }
@@ -134,7 +134,7 @@
 
 void DispatchQueued(SchedulerState& state, TargetState& target) {
   ShardFlows& flows = state.flows.Shard(target.shard);
-  if (flows.queued == 0 || !MayDispatchTo(state, target)) {
+  if (flows.waiting.empty() || !MayDispatchTo(state, target)) {
     return;
   }
   while (const std::optional<Candidate> next = SelectNext(state, target, flows)) {
--- a/src/decision/final_response.cpp
+++ b/src/decision/final_response.cpp
@@ -19,10 +19,14 @@
   return std::clamp(std::max(queue_drained, backoff_over), std::min(kTimerPeriod, max_delay), max_delay);
 }
 
+void Reject(SchedulerState& state, const RequestState& request, RejectionReason reason) {
+  const Time retry_after = state.settings.sends_retry_after ? RetryAfter(state, request) : 0;
+  state.actions.emplace_back(RejectRequest{request.id, retry_after, reason});
+}
+
 void Respond(SchedulerState& state, const RequestState& request) {
   if (IsRejectionSafe(state, request)) {
-    const Time retry_after = state.settings.sends_retry_after ? RetryAfter(state, request) : 0;
-    state.actions.emplace_back(RejectRequest{request.id, retry_after});
+    Reject(state, request, RejectionReason::kLoad);
   } else {
     state.actions.emplace_back(FailRequest{request.id});
   }
--- a/src/decision/final_response.h
+++ b/src/decision/final_response.h
@@ -13,6 +13,9 @@
 // Emits the rejection or the failure of a request.
 void Respond(SchedulerState& state, const RequestState& request);
 
+// Emits the rejection of a request that has not been attempted.
+void Reject(SchedulerState& state, const RequestState& request, RejectionReason reason);
+
 // Returns the time after which a rejected client may retry, us: when the target's queue has drained and its
 // backoff is over, but at least the timer period and at most the settings' maximum. If no active target holds
 // the data, or the endpoint lease has expired, the client must wait for the next endpoint update, so the
--- a/src/decision/flow_table.cpp
+++ b/src/decision/flow_table.cpp
@@ -14,28 +14,47 @@
     flow.queues.resize(class_count);
   }
   request->flow = &flow;
+  ++flow.queued;
   ++flows.queued;
+  flows.waiting[volume->number] = &flow;
   auto& queue = flow.queues[request->class_index];
   if (position == QueuePosition::kFront) {
-    queue.push_front(request);
+    queue.insert(queue.begin(), request);
   } else {
     queue.push_back(request);
   }
 }
 
 void FlowTable::Remove(const RequestRef& request) {
-  if (request->flow != nullptr) {
-    Flow& flow = *request->flow;
-    shards_[flow.shard].queued -= std::erase(flow.queues[request->class_index], request);
+  if (request->flow == nullptr) {
+    return;
   }
+  Flow& flow = *request->flow;
+  ShardFlows& flows = shards_[flow.shard];
+  const std::size_t removed = std::erase(flow.queues[request->class_index], request);
+  flow.queued -= removed;
+  flows.queued -= removed;
+  if (flow.queued == 0) {
+    flows.waiting.erase(flow.volume->number);
+  }
+}
+
+bool FlowTable::Contains(int shard, int volume_number) const {
+  const auto flows = shards_.find(shard);
+  return flows != shards_.end() && flows->second.by_volume.contains(volume_number);
 }
 
 void FlowTable::EvictIdle(const std::set<const Flow*>& in_use, Time idle_since) {
   for (auto& [shard, flows] : shards_) {
-    std::erase_if(flows.by_volume, [&](const auto& entry) {
-      return !in_use.contains(&entry.second) && entry.second.last_arrival < idle_since;
-    });
+    const auto is_idle = [&](const auto& entry) {
+      const Flow& flow = entry.second;
+      return !in_use.contains(&flow) && flow.last_arrival < idle_since;
+    };
+    std::erase_if(flows.waiting,
+                  [&](const auto& entry) { return is_idle(*flows.by_volume.find(entry.first)); });
+    std::erase_if(flows.by_volume, is_idle);
   }
+  std::erase_if(shards_, [](const auto& entry) { return entry.second.by_volume.empty(); });
 }
 
 std::size_t FlowTable::flow_count() const {
--- a/src/decision/flow_table.h
+++ b/src/decision/flow_table.h
@@ -6,7 +6,6 @@
 #define WALNUTSPUR_DECISION_FLOW_TABLE_H_
 
 #include <cstddef>
-#include <deque>
 #include <map>
 #include <set>
 #include <vector>
@@ -19,11 +18,15 @@
 
 namespace walnutspur::decision {
 
+// Requests in the order in which they are sent. Most queues are empty, and an empty vector has no memory.
+using RequestQueue = std::vector<RequestRef>;
+
 // Requests of one volume at one shard.
 struct Flow {
   Volume* volume = nullptr;
   int shard = 0;
-  std::vector<std::deque<RequestRef>> queues;  // one for each request class
+  std::vector<RequestQueue> queues;  // one for each request class
+  std::size_t queued = 0;            // requests in all queues
   limits::FlowTag tag;
   Time last_arrival = 0;
   double throttle = 0;  // units per second; 0: not throttled
@@ -43,16 +46,14 @@
 // Flows of one shard.
 struct ShardFlows {
   std::map<int, Flow> by_volume;  // by Volume::number, an order that does not depend on addresses
+  std::map<int, Flow*> waiting;   // those with queued requests
   std::size_t queued = 0;         // requests in all queues
 
   // Calls `visit` with each queued request, in the order of volumes, classes and queue positions.
   template <typename Visitor>
   void ForEachQueued(Visitor visit) const {
-    if (queued == 0) {
-      return;  // fast path: most shards of a large fleet have no queued request
-    }
-    for (const auto& [number, flow] : by_volume) {
-      for (const auto& queue : flow.queues) {
+    for (const auto& [number, flow] : waiting) {
+      for (const auto& queue : flow->queues) {
         for (const RequestRef& request : queue) {
           visit(request);
         }
@@ -67,6 +68,9 @@
 // Flows of all shards.
 class FlowTable {
  public:
+  // Returns whether there is a flow of the volume with this number at a shard.
+  bool Contains(int shard, int volume_number) const;
+
   // Returns the flows of a shard, created empty on first use.
   ShardFlows& Shard(int shard) { return shards_[shard]; }
 
@@ -82,7 +86,8 @@
   // Removes a request from its queue, if it is in one.
   void Remove(const RequestRef& request);
 
-  // Removes the flows that are not `in_use` and whose last arrival is before `idle_since` (us).
+  // Removes the flows that are not `in_use` and whose last arrival is before `idle_since` (us), and shards
+  // without a flow.
   void EvictIdle(const std::set<const Flow*>& in_use, Time idle_since);
 
   // Returns the number of flows.
--- a/src/decision/key_order.h
+++ b/src/decision/key_order.h
@@ -43,6 +43,7 @@
   void EvictUnused(Time now);
 
   std::size_t size() const { return queues_.size(); }
+  bool Contains(const std::string& key) const { return queues_.contains(key); }
 
  private:
   std::map<std::string, KeyQueue> queues_;
--- a/src/decision/scheduler.cpp
+++ b/src/decision/scheduler.cpp
@@ -113,6 +113,12 @@
   void On(const RequestArrived& arrival) {
     state_.retry_budget.OnArrival(state_.settings.rules, state_.now);
     const RequestRef request = NewRequest(state_, arrival);
+    const int shard =
+        request->any_target ? PlaceNewObject(state_, *request) : ShardOf(state_, *request, arrival);
+    if (!MakeRoom(state_, *request, arrival.volume, shard)) {
+      Reject(state_, *request, RejectionReason::kTableFull);
+      return;
+    }
     state_.requests.Add(request);
     if (state_.IsOrdered(*request)) {
       state_.key_order.Add(request);
@@ -120,8 +126,7 @@
     Volume& volume = VolumeOf(state_, arrival);
     volume.demand.Add(request->units);
     volume.last_arrival = state_.now;
-    Enqueue(state_, request, volume,
-            request->any_target ? PlaceNewObject(state_, *request) : ShardOf(state_, *request, arrival));
+    Enqueue(state_, request, volume, shard);
     DispatchShard(request->flow->shard);
     if (request->target == nullptr && !MayWaitOnArrival(state_, *request)) {
       Finish(request);
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -66,6 +66,7 @@
   RequestTable requests;
   FlowTable flows;
   VolumeTable volumes;
+  Time next_eviction_at = 0;  // when full tables may be searched for idle entries again
   KeyOrder key_order;
   ObjectLocations object_locations;
   limits::RetryBudget retry_budget;
--- a/src/decision/volume.cpp
+++ b/src/decision/volume.cpp
@@ -14,6 +14,11 @@
   return volume;
 }
 
+const Volume* VolumeTable::Find(const std::string& name) const {
+  const auto entry = volumes_.find(name);
+  return entry != volumes_.end() ? &entry->second : nullptr;
+}
+
 void VolumeTable::EndInterval(double seconds) {
   for (auto& [name, volume] : volumes_) {
     volume.demand.EndInterval(seconds);
--- a/src/decision/volume.h
+++ b/src/decision/volume.h
@@ -36,6 +36,9 @@
   // Returns the volume with this name. An unknown volume is added without a plan, with the next number.
   Volume& FindOrAdd(const std::string& name);
 
+  // Returns the volume with this name, or null.
+  const Volume* Find(const std::string& name) const;
+
   // Ends a measurement interval of `seconds` for the demand of all volumes.
   void EndInterval(double seconds);
 
--- a/tests/unit/decision_test.cpp
+++ b/tests/unit/decision_test.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "decision/accounts.h"
+#include "decision/dispatch.h"
 #include "decision/eviction.h"
 #include "decision/flow_table.h"
 #include "decision/state.h"
@@ -246,4 +247,46 @@
   CHECK(state.volumes.size() == 0);
 }
 
+// Guards against a table of volumes that grows without end under ever new names.
+TEST_CASE(
+    "MakeRoom: a full table gives up what was idle the longest, and nothing that is in use or owes credit") {
+  constexpr std::size_t kMaxFlows = 16;
+  constexpr int kShard = 3;
+  Settings settings = MakeSettings();
+  settings.tables.max_flows = kMaxFlows;
+  settings.plans[0].limit = 0;
+  SUBCASE("unlimited volumes") {}
+  SUBCASE("volumes with a limit are kept until it could fill") { settings.plans[0].limit = 20; }
+  const bool is_limited = settings.plans[0].limit > 0;
+  Fixture fixture(settings);
+  SchedulerState& state = fixture.state;
+  auto used = std::make_shared<RequestState>();
+  used->id = "used";
+  state.requests.Add(used);
+  Enqueue(state, used, fixture.MakeVolume("used"), kShard);
+  RequestState next;
+  int admitted = 0;
+  for (int number = 0; number < 100; ++number) {
+    const std::string name = "v" + std::to_string(number);
+    state.now += kTimerPeriod;
+    if (!MakeRoom(state, next, name, kShard)) {
+      continue;
+    }
+    ++admitted;
+    auto request = std::make_shared<RequestState>();
+    Volume& volume = fixture.MakeVolume(name);
+    volume.last_arrival = state.now;
+    Enqueue(state, request, volume, kShard);
+    state.flows.Remove(request);
+    CHECK(state.flows.flow_count() <= kMaxFlows);
+    CHECK(state.volumes.size() <= kMaxFlows);
+  }
+  CHECK((admitted == 100) == !is_limited);
+  CHECK(state.volumes.contains("used"));
+  CHECK(state.flows.Shard(kShard).queued == 1);
+  CHECK(MakeRoom(state, next, "used", kShard));
+  state.now += 10 * kOneSecond;  // the burst takes 2 s to fill
+  CHECK(MakeRoom(state, next, "another", kShard));
+}
+
 }  // namespace walnutspur::decision
