Fix: clients that sent many requests and left made others' requests be rejected

Callers saw: beside 20 connections that send 100 requests at once and close, nine of ten usual requests were rejected. Cause: each such disconnect, a few ms after the request, entered the estimate of how long clients wait (AbandonmentEstimate), so that every queued request counted as about to be abandoned. Requests whose client had closed before they were read entered it too. Change: a request whose client has already closed is not submitted. A disconnect counts for the estimate only if the client had sent nothing behind its request (ClientDisconnected::waited). A scheduler test claims both cases.

--- a/include/walnutspur/events.h
+++ b/include/walnutspur/events.h
@@ -84,6 +84,9 @@
 // The client of a request has disconnected.
 struct ClientDisconnected {
   RequestId id;
+  // Whether the client waited for this response alone. One that had sent more requests behind it does not
+  // show how long clients wait.
+  bool waited = true;
 };
 
 // The initiator has started to send the response to a request to its client.
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -99,7 +99,7 @@
     return;
   }
   position->second.finished = true;
-  ProcessEvent(ClientDisconnected{std::to_string(input.request)});
+  ProcessEvent(ClientDisconnected{std::to_string(input.request), input.waited});
   EraseIfClosed(input.request);
 }
 
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -45,6 +45,7 @@
 // The client has closed its connection.
 struct ClientClosed {
   RequestNumber request = 0;
+  bool waited = true;  // for this response alone: nothing followed the request on its connection
 };
 // The client's deadline has passed.
 struct DeadlineExpired {
--- a/src/decision/scheduler.cpp
+++ b/src/decision/scheduler.cpp
@@ -157,7 +157,10 @@
     if (request == nullptr) {
       return;
     }
-    MarkFinished(request, true);
+    if (event.waited) {
+      MarkFinished(request, true);
+    }
+    request->finished = true;
     state_.flows.Remove(request);
     if (request->target == nullptr) {
       state_.requests.Remove(event.id);
--- a/src/frontend/pending_requests.h
+++ b/src/frontend/pending_requests.h
@@ -65,10 +65,10 @@
   }
 
   // Removes a request whose client has disconnected, and submits ClientClosed; does nothing if it is not
-  // pending.
-  void RemoveDisconnected(core::RequestNumber number) {
+  // pending. `waited`: as in ClientClosed.
+  void RemoveDisconnected(core::RequestNumber number, bool waited = true) {
     if (requests_.erase(number) > 0) {
-      submit_(core::ClientClosed{number});
+      submit_(core::ClientClosed{number, waited});
     }
   }
 
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -121,6 +121,10 @@
   core::MemoryReservation TakeRequestMemory() { return request_memory_.Split(); }
   // Returns whether a request is incomplete and holds reserved memory.
   bool holds_request_memory() const { return !closing_ && !is_responding() && request_memory_.bytes() > 0; }
+  // Returns whether input has arrived behind the request that awaits its response.
+  bool has_read_ahead() const {
+    return discarded_bytes_ > 0 || loop::BufferedInputBytes(stream_.get()) > 0 || HasUnreadBytes();
+  }
   // Returns when the last bytes were read, us.
   Time last_input_at() const { return last_input_at_; }
   // Rejects the incomplete request to free its memory, and closes the connection.
--- a/src/http/front_end.cpp
+++ b/src/http/front_end.cpp
@@ -168,7 +168,13 @@
   }
 }
 
+// A client that has left before its request was read does not wait for it. How long the others wait must not
+// be estimated from it either.
 void FrontEnd::Submit(ClientConnection& client, AdmittedRequest admitted) {
+  if (client.IsDisconnected()) {
+    Close(client);
+    return;
+  }
   core::RequestReceived& request = admitted.request;
   request.request = request_numbers_->next++;
   client.SetPendingRequest(request.request);
@@ -278,7 +284,7 @@
   }
   const std::unique_ptr<ClientConnection> closed = std::move(at->second);
   clients_.erase(at);
-  pending_.RemoveDisconnected(closed->pending_request());
+  pending_.RemoveDisconnected(closed->pending_request(), !closed->has_read_ahead());
 }
 
 // Every request must have a response when the process exits. Idle connections stay open until then because a
--- a/src/lab/commands/pressure.cpp
+++ b/src/lab/commands/pressure.cpp
@@ -62,7 +62,8 @@
   cli->add_option("--sockets", options->run.sockets, "Descriptors of the process");
   cli->add_option("--usual", options->run.usual_connections, "Connections of usual clients");
   cli->add_option("--body-bytes", options->run.usual_body_bytes, "Body of the usual clients' writes");
-  cli->add_option("--response-bytes", options->run.response_bytes, "Body of the targets' responses");
+  cli->add_option("--response-bytes", options->run.response_bytes,
+                  "Body of the responses to clients that press");
   cli->add_option("--seconds", options->seconds, "Duration of the pressure")->check(CLI::Range(1, 600));
   cli->add_flag("--show-log", options->shows_log, "Print the log of the process");
   return {cli, [options] { return RunPressureCommand(*options); }};
--- a/src/lab/fakes/http_target.h
+++ b/src/lab/fakes/http_target.h
@@ -52,8 +52,12 @@
   int port() const { return port_; }
   TargetFault fault() const { return fault_; }
   void SetFault(TargetFault fault);
-  // Sets the size of the body of responses with status 200; 0: the request's URI.
-  void set_response_bytes(std::size_t bytes) { response_bytes_ = bytes; }
+  // Sets the size of the body of responses with status 200 to requests whose id begins with `id_prefix`; 0:
+  // the request's URI, as for all others.
+  void SetResponseBytes(std::size_t bytes, const std::string& id_prefix) {
+    response_bytes_ = bytes;
+    response_id_prefix_ = id_prefix;
+  }
   // Closes all connections that carry no request.
   void CloseIdleConnections();
 
@@ -78,6 +82,7 @@
   int port_ = 0;
   TargetFault fault_ = TargetFault::kNone;
   std::size_t response_bytes_ = 0;
+  std::string response_id_prefix_;
   std::uint64_t next_connection_ = 1;
   std::unique_ptr<loop::Listener> listener_;  // null while kDown
   std::map<std::uint64_t, Served> connections_;
--- a/src/lab/pressure/pressure_client.h
+++ b/src/lab/pressure/pressure_client.h
@@ -40,8 +40,8 @@
     PressureKind::kNewVolumes,    PressureKind::kUnsoundRequests,    PressureKind::kAbandonedRequests,
     PressureKind::kRepeatedIds};
 
-// Returns whether the client with this request id presses.
-bool IsPressing(std::string_view request_id);
+// The first digit of the ids of requests of clients that press; no usual client's id begins with it.
+inline constexpr const char* kPressingIdPrefix = "e";
 
 // Returns the name of a kind, as on the command line, and the kind with a name.
 std::string_view NameOf(PressureKind kind);
--- a/src/lab/pressure/pressure_run.h
+++ b/src/lab/pressure/pressure_run.h
@@ -22,7 +22,7 @@
   int sockets = 1024;
   int usual_connections = 8;
   std::size_t usual_body_bytes = 4;  // of the usual clients' writes
-  std::size_t response_bytes = 0;    // of the targets; 0: a short text
+  std::size_t response_bytes = 0;    // to clients that press; 0: a short text
   Time duration = 4'000'000;         // us of pressure
 };
 
--- a/tests/scheduler/client_timeout_test.cpp
+++ b/tests/scheduler/client_timeout_test.cpp
@@ -54,6 +54,24 @@
   EXPECT_EQ(scheduler.SendCount("again"), 0);
 }
 
+// Guards against clients that send many requests at once and leave, so that the requests of others are
+// rejected as if these would not wait either.
+TEST(ClientTimeout, ClientsThatSentMoreBehindTheirRequestDoNotShowHowLongClientsWait) {
+  for (const bool waited : {true, false}) {
+    SchedulerFixture scheduler;
+    scheduler.SetTargets(1);
+    for (int i = 0; i < 50; ++i) {
+      const std::string id = "gone" + std::to_string(i);
+      scheduler.Handle(SchedulerFixture::MakeRequest(id, 0, 7));  // no target holds the shard
+      scheduler.Handle(ClientDisconnected{id, waited});
+    }
+    scheduler.Advance(20 * kMs);
+    scheduler.Handle(SchedulerFixture::MakeRequest("queued", 0, 7));
+    scheduler.Advance(40 * kMs);
+    EXPECT_EQ(scheduler.RejectionCount("queued"), waited ? 1 : 0);
+  }
+}
+
 // Regression ib0c9d5: every instance sent new objects to targets from which it had no response.
 TEST(MissedObjective, TargetWithoutResponsesIsAssumedToQueueLikeTheOthers) {
   for (const bool behind : {false, true}) {
