Fix: NBD commands, responses of targets and endpoint lists had no bound in sum

Cause: each path bounded one connection or one message, none the sum. Change: an NBD command reserves its data, and a read its reply, before it is read or submitted; a write waits for memory, a command that gets none is refused with ENOMEM unexecuted; unread replies count, and 64 KiB of them pause a client. In the handshake 256 bytes are read at a time, since a few bytes list all exports. A target's response beyond 4 KiB reserves what it holds until its client has read it, a stream 64 KiB; without memory it stays in the kernel until there is some. Endpoint lists are bounded by the memory limit in bytes and values, and in targets. NBD replies are passed to the kernel before the next command is read, so that a client that has gone is noticed. The ids that are kept after a request no longer include those of served requests: an existing test claims that they are free. Evidence and measured: three new tests (NBD front end, target pool, JSON stream) that need the bounds.

--- a/include/walnutspur/settings.h
+++ b/include/walnutspur/settings.h
@@ -60,7 +60,7 @@
 // Bounds of the tables that are keyed by names from outside.
 struct TableLimits {
   std::size_t max_flows = 24'576;  // pairs of a volume and a shard; also the maximum of volumes and keys
-  std::size_t max_request_ids = 49'152;  // ids of requests that may have run
+  std::size_t max_request_ids = 49'152;  // ids of unserved requests that may have run
 
   bool operator==(const TableLimits&) const = default;
 };
--- a/src/app/initiator.cpp
+++ b/src/app/initiator.cpp
@@ -131,7 +131,7 @@
 }
 
 void Initiator::OpenHttp() {
-  http_targets_ = std::make_unique<http::TargetPool>(base_.get(), config_, submit_);
+  http_targets_ = std::make_unique<http::TargetPool>(base_.get(), config_, &memory_, submit_);
   http_targets_->is_client_connected = [this](core::RequestNumber request) {
     return http_front_end_->IsClientConnected(request);
   };
@@ -164,7 +164,7 @@
   exports_ = std::make_unique<checksummed::ChecksummedExports>(base_.get(), nbd_, max_connections,
                                                                corruption_.get(), submit_);
   nbd_front_end_ = std::make_unique<nbd::FrontEnd>(base_.get(), nbd_, config_.settings, max_connections,
-                                                   &request_numbers_, submit_);
+                                                   &request_numbers_, &memory_, submit_);
   const bool any_checksummed = std::any_of(nbd_.volumes.begin(), nbd_.volumes.end(),
                                            [](const nbd::Volume& volume) { return volume.checksummed; });
   if (!any_checksummed) {
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -67,8 +67,8 @@
 
 void Engine::HandleInput(const RequestReceived& input) {
   // A client's request id stays in use until the last attempt of the request has an outcome: a target that
-  // received the same id from two requests could not distinguish them. After that it must not run again
-  // either, unless its class allows that or no attempt has run.
+  // received the same id from two requests could not distinguish them. Without the response
+  // of a target it must not run again after that either, unless its class allows that or no attempt has run.
   const std::string& id = input.client_request_id;
   if (!id.empty() && (executed_ids_.Contains(id, now_) || !client_request_ids_.insert(id).second)) {
     outputs_.emplace_back(Response{input.request, input.protocol, ResponseStatus::kDuplicate, 0, nullptr});
@@ -314,6 +314,7 @@
   }
   RequestState& request = position->second;
   request.finished = true;
+  request.was_served = status == ResponseStatus::kServed;
   Response response{number, request.protocol, status, retry_after, std::move(payload)};
   response.met_objective = status == ResponseStatus::kServed && now_ <= request.objective_deadline;
   const auto open = static_cast<double>(requests_.size());
@@ -336,7 +337,8 @@
 }
 
 void Engine::RememberId(const RequestState& request) {
-  if (request.client_request_id.empty() || request.is_idempotent || !request.may_have_run) {
+  const bool may_run_again = request.is_idempotent || !request.may_have_run || request.was_served;
+  if (request.client_request_id.empty() || may_run_again) {
     return;
   }
   if (executed_ids_.Add(request.client_request_id, now_)) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -61,6 +61,7 @@
     bool finished = false;                  // a response was sent, or the client has disconnected
     bool is_idempotent = true;              // may run again under the same id
     bool may_have_run = false;              // an attempt has ended without proof that it never ran
+    bool was_served = false;                // its client has the response of a target
     Time objective_deadline = 0;            // latest time of a response within the latency objective, us
     PayloadRef partial_payload;             // intact part of the latest corrupted response
     int attempts = 0;                       // number of the next attempt
--- a/src/http/memory_log.cpp
+++ b/src/frontend/memory_log.cpp
@@ -1,11 +1,11 @@
-#include "http/memory_log.h"
+#include "frontend/memory_log.h"
 
 #include <string>
 
 #include "log/event_kinds.h"
 #include "log/log.h"
 
-namespace walnutspur::http {
+namespace walnutspur::frontend {
 
 void LogMemoryLimit(const core::MemoryAccount& account, limits::MemoryOwner owner, std::string_view outcome,
                     std::uint64_t connection) {
@@ -20,4 +20,4 @@
               {"total_limit_bytes", std::to_string(budget.total_limit())}});
 }
 
-}  // namespace walnutspur::http
+}  // namespace walnutspur::frontend
--- a/src/http/body_stream.h
+++ b/src/http/body_stream.h
@@ -12,10 +12,12 @@
 #include <string>
 #include <string_view>
 
+#include "core/memory_account.h"
+
 namespace walnutspur::http {
 
 // The sender of a stream is paused while the stream holds at least this many bytes.
-constexpr std::size_t kMaxStreamBytes = 32 << 10;
+constexpr std::size_t kMaxStreamBytes = 16 << 10;
 
 class BodyStream {
  public:
@@ -24,6 +26,9 @@
 
   std::optional<std::uint64_t> length() const { return length_; }
 
+  // The memory of the stream on both sides.
+  core::MemoryReservation memory;
+
   // The sender's side.
   void Append(std::string_view bytes);
   bool is_full() const { return buffer_.size() >= kMaxStreamBytes; }
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -16,7 +16,7 @@
 
 // Maximum number of bytes of a streamed response that the client has not read. Beyond it no further request
 // is read either.
-constexpr std::size_t kMaxUnwrittenBytes = 32 << 10;
+constexpr std::size_t kMaxUnwrittenBytes = 16 << 10;
 
 // Maximum number of pieces of input that are processed before the loop turns to other connections.
 constexpr int kMaxPiecesPerTurn = 32;
@@ -217,6 +217,7 @@
 // Begins the wait that follows a response. Before all of it is written, a client that reads slowly would lose
 // its end when the wait is over. The next request may have begun in the meantime.
 void ClientConnection::OnResponseWritten() {
+  response_memory_.Release();
   last_active_ = core::Now();
   if (closing_) {
     loop::ShutdownWrites(stream_.get());
@@ -232,8 +233,10 @@
   }
 }
 
-void ClientConnection::Respond(int status, std::string_view body, std::string_view headers) {
+void ClientConnection::Respond(int status, std::string_view body, std::string_view headers,
+                               core::MemoryReservation memory) {
   BeginResponse();
+  response_memory_ = std::move(memory);
   loop::Write(stream_.get(), FormatResponse(status, body, headers, close_after_response_));
   EndResponse();
 }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -78,7 +78,9 @@
   MessageReader& message() { return reader_; }
 
   // Sends a response. The front end must no longer hold a pending request of this connection.
-  void Respond(int status, std::string_view body, std::string_view headers = {});
+  // `memory` is kept until the client has read the response.
+  void Respond(int status, std::string_view body, std::string_view headers = {},
+               core::MemoryReservation memory = {});
   // Sends a response with status 200 whose body is passed on while it arrives. If the body breaks before its
   // end, the connection is reset.
   void RespondStreaming(std::string_view headers, std::shared_ptr<BodyStream> body);
@@ -165,6 +167,7 @@
   std::uint64_t number_;
   MessageReader reader_{MessageReader::Kind::kRequest, kMaxRequestBodyBytes};
   core::MemoryReservation request_memory_;
+  core::MemoryReservation response_memory_;
   core::RequestNumber pending_request_ = 0;
   Time last_active_;                     // when the last response was sent, or else when the client connected
   Time last_input_at_ = 0;               // when the last bytes were read
--- a/src/http/discovery_client.cpp
+++ b/src/http/discovery_client.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -20,8 +21,13 @@
 // (decision/endpoint_lease.h) ends the use of the list.
 constexpr Time kSilenceTimeout = 2'500'000;  // us
 
-// Maximum size of a list. It keeps the service from exhausting the process's memory.
+// Maximum size of a list, and the memory of the process for each byte of it: a list of the largest fleet
+// (3,200 targets) fits into a process with the least memory.
 constexpr std::size_t kMaxListBytes = 4 << 20;
+constexpr std::size_t kMemoryPerListByte = 16;
+
+// Maximum number of targets, listed and left out together, that lists of changes may add up to.
+constexpr std::size_t kMaxTargets = 8'192;
 
 constexpr Time kMicrosecondsPerMillisecond = 1000;
 
@@ -39,7 +45,8 @@
     : base_(base),
       config_(config),
       on_list_(std::move(on_list)),
-      lists_(kMaxListBytes, [this](const std::string& object) { return OnObject(object); }),
+      lists_(std::min(kMaxListBytes, config.memory_bytes() / kMemoryPerListByte),
+             [this](const std::string& object) { return OnObject(object); }),
       silence_timeout_(loop::MakeTimer(base, [this] { OnWatchEnded(WatchEndReason::kSilent); })),
       free_closed_(loop::MakeTimer(base, [this] { closed_.reset(); })) {}
 
@@ -84,6 +91,7 @@
 }
 
 void DiscoveryClient::SetCachedList(const EndpointList& list) {
+  UpdateListed(list);
   revision_ = list.revision;
   has_list_ = true;
 }
@@ -206,6 +214,26 @@
   }
 }
 
+bool DiscoveryClient::UpdateListed(const EndpointList& list) {
+  if (list.complete) {
+    listed_.clear();
+  }
+  for (const walnutspur::Endpoint& endpoint : list.endpoints) {
+    if (endpoint.state == EndpointState::kTerminated) {
+      listed_.erase(endpoint.target);
+    } else {
+      listed_.insert(endpoint.target);
+    }
+  }
+  if (listed_.size() <= kMaxTargets) {
+    return true;
+  }
+  log::Event(
+      log::Level::kWarn, log::kTableLimitReached,
+      {{"table", "endpoints"}, {"entries", std::to_string(listed_.size())}, {"outcome", "list_rejected"}});
+  return false;
+}
+
 // Handles one complete JSON object; returns whether to continue reading.
 bool DiscoveryClient::OnObject(const std::string& object) {
   try {
@@ -215,6 +243,12 @@
       OnWatchEnded(WatchEndReason::kOlderRevision);
       return false;
     }
+    if (!UpdateListed(list)) {
+      revision_ = 0;  // request the full list, which may have fewer targets
+      listed_.clear();
+      OnWatchEnded(WatchEndReason::kUnreadable);
+      return false;
+    }
     has_list_ = true;
     has_response_ = true;
     has_partial_list_ = false;
--- a/src/http/discovery_client.h
+++ b/src/http/discovery_client.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "core/port.h"
@@ -35,6 +36,8 @@
   void SetCachedList(const EndpointList& list);
 
  private:
+  // Updates `listed_`. Returns whether there are no more targets than the process has room for.
+  bool UpdateListed(const EndpointList& list);
   using ConnectionPtr = std::unique_ptr<evhttp_connection, loop::Deleter<evhttp_connection_free>>;
 
   // Why a watch ended; logged as discovery_watch_ended (docs/operators/logs.md).
@@ -69,6 +72,7 @@
   Time opened_at_ = 0;             // when this watch was opened, us
   Time last_received_at_ = 0;      // when bytes last arrived, or else opened_at_, us
   JsonStream lists_;
+  std::set<walnutspur::TargetId> listed_;  // targets of the lists so far
   loop::EventHandle silence_timeout_;
   loop::EventHandle free_closed_;  // frees `closed_` outside of its own callbacks
   ConnectionPtr connection_;
--- a/src/http/front_end.cpp
+++ b/src/http/front_end.cpp
@@ -7,8 +7,8 @@
 #include <variant>
 
 #include "core/scheduler_thread.h"
+#include "frontend/memory_log.h"
 #include "frontend/stalled_request.h"
-#include "http/memory_log.h"
 #include "http/messages.h"
 
 namespace walnutspur::http {
@@ -224,7 +224,7 @@
     return;
   }
   if (HasMemoryFor(served.body.size())) {
-    client.Respond(kStatusOk, served.body, served.headers);
+    client.Respond(kStatusOk, served.body, served.headers, served.memory.Split());
   } else {
     client.Respond(kStatusInternalError, "no room for the answer\n");
   }
@@ -253,12 +253,13 @@
     const bool may_displace = !client.is_responding() && bytes <= kProtocolBodyBytes;
     ClientConnection* stalled = may_displace ? frontend::ChooseStalled(clients_, core::Now()) : nullptr;
     if (stalled == nullptr || stalled == &client) {
-      LogMemoryLimit(*memory_, limits::MemoryOwner::kHttpRequests,
-                     client.is_responding() ? "read_ahead_dropped" : "request_rejected", client.number());
+      frontend::LogMemoryLimit(*memory_, limits::MemoryOwner::kHttpRequests,
+                               client.is_responding() ? "read_ahead_dropped" : "request_rejected",
+                               client.number());
       return false;
     }
-    LogMemoryLimit(*memory_, limits::MemoryOwner::kHttpRequests, "stalled_request_rejected",
-                   stalled->number());
+    frontend::LogMemoryLimit(*memory_, limits::MemoryOwner::kHttpRequests, "stalled_request_rejected",
+                             stalled->number());
     stalled->RejectForMemory();
   }
   return true;
--- a/src/http/json_stream.cpp
+++ b/src/http/json_stream.cpp
@@ -12,19 +12,21 @@
 
 // Callbacks of the parser. Each returns 0 to stop the parser: at the brace that closes the object, or at a
 // top-level value that is not an object.
-int OpenObject(void* depth) {
-  ++*static_cast<int*>(depth);
+JsonStream::Counts& CountsOf(void* counts) { return *static_cast<JsonStream::Counts*>(counts); }
+int OpenObject(void* counts) {
+  ++CountsOf(counts).depth;
+  ++CountsOf(counts).values;
   return 1;
 }
-int Close(void* depth) {
-  --*static_cast<int*>(depth);
-  return *static_cast<int*>(depth) > 0 ? 1 : 0;
+int Close(void* counts) { return --CountsOf(counts).depth > 0 ? 1 : 0; }
+int CheckInsideObject(void* counts) {
+  ++CountsOf(counts).values;
+  return CountsOf(counts).depth > 0 ? 1 : 0;
 }
-int CheckInsideObject(void* depth) { return *static_cast<int*>(depth) > 0 ? 1 : 0; }
-int OpenArray(void* depth) { return CheckInsideObject(depth) != 0 ? OpenObject(depth) : 0; }
-int OnBoolean(void* depth, int) { return CheckInsideObject(depth); }
-int OnNumber(void* depth, const char*, std::size_t) { return CheckInsideObject(depth); }
-int OnString(void* depth, const unsigned char*, std::size_t) { return CheckInsideObject(depth); }
+int OpenArray(void* counts) { return CountsOf(counts).depth > 0 ? OpenObject(counts) : 0; }
+int OnBoolean(void* counts, int) { return CheckInsideObject(counts); }
+int OnNumber(void* counts, const char*, std::size_t) { return CheckInsideObject(counts); }
+int OnString(void* counts, const unsigned char*, std::size_t) { return CheckInsideObject(counts); }
 
 constexpr yajl_callbacks kCallbacks = {
     .yajl_null = CheckInsideObject,
@@ -56,8 +58,8 @@
       if (bytes.empty()) {
         return "";
       }
-      depth_ = 0;
-      parser_.reset(yajl_alloc(&kCallbacks, nullptr, &depth_));
+      counts_ = {};
+      parser_.reset(yajl_alloc(&kCallbacks, nullptr, &counts_));
     }
     if (bytes.empty()) {
       return "";
@@ -73,10 +75,13 @@
     if (object_.size() > max_object_bytes_) {
       return "JSON object exceeds the maximum of " + std::to_string(max_object_bytes_) + " bytes";
     }
+    if (counts_.values > max_object_bytes_ / kBytesPerValue) {
+      return "JSON object has more than " + std::to_string(max_object_bytes_ / kBytesPerValue) + " values";
+    }
     if (status == yajl_status_ok) {
       return "";
     }
-    if (depth_ > 0 || object_.front() != '{') {
+    if (counts_.depth > 0 || object_.front() != '{') {
       return "JSON value is not an object";
     }
     const std::string object = std::exchange(object_, {});
--- a/src/http/json_stream.h
+++ b/src/http/json_stream.h
@@ -23,7 +23,8 @@
   // Receives one complete object; returns whether to continue reading.
   using OnObject = std::function<bool(const std::string& object)>;
 
-  // Objects larger than `max_object_bytes` are errors.
+  // Objects larger than `max_object_bytes`, and those with more values than one for each kBytesPerValue of
+  // it, are errors: a parsed value takes more memory than its text.
   JsonStream(std::size_t max_object_bytes, OnObject on_object)
       : max_object_bytes_(max_object_bytes), on_object_(std::move(on_object)) {}
 
@@ -34,14 +35,22 @@
   // Returns the number of bytes received of the incomplete object.
   std::size_t incomplete_bytes() const { return object_.size(); }
 
+  // What the parser's callbacks count.
+  struct Counts {
+    int depth = 0;           // open braces and brackets
+    std::size_t values = 0;  // of the incomplete object
+  };
+
  private:
   struct ParserDeleter {
     void operator()(yajl_handle_t* handle) const;
   };
 
+  static constexpr std::size_t kBytesPerValue = 32;
+
   std::size_t max_object_bytes_;
   OnObject on_object_;
-  int depth_ = 0;  // number of open braces and brackets, counted by the parser's callbacks
+  Counts counts_;
   std::string object_;
   std::unique_ptr<yajl_handle_t, ParserDeleter> parser_;  // null between objects
 };
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -31,9 +31,10 @@
 
 // The response of a target that has completed a request.
 struct Response : core::Payload {
-  std::string body;                    // complete, without `stream`
-  std::shared_ptr<BodyStream> stream;  // the body, passed on while it arrives; null: none
-  std::string headers;                 // lines to forward, each with CR LF: digest fields
+  std::string body;                        // complete, without `stream`
+  std::shared_ptr<BodyStream> stream;      // the body, passed on while it arrives; null: none
+  std::string headers;                     // lines to forward, each with CR LF: digest fields
+  mutable core::MemoryReservation memory;  // of the body; moved to the client's connection
 };
 
 // The digest fields of a message, and whether its content matches them.
--- a/src/http/target_connection.cpp
+++ b/src/http/target_connection.cpp
@@ -53,6 +53,7 @@
 void TargetConnection::Assign(Attempt attempt) {
   attempt_ = std::move(attempt);
   response_ = MessageReader(MessageReader::Kind::kResponse, kMaxResponseBodyBytes);
+  response_memory_.Release();
   is_held_ = false;
 }
 
--- a/src/http/target_connection.h
+++ b/src/http/target_connection.h
@@ -11,8 +11,10 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "core/engine.h"
+#include "core/memory_account.h"
 #include "http/body_stream.h"
 #include "http/message_reader.h"
 #include "http/messages.h"
@@ -130,6 +132,10 @@
   State state() const { return state_; }
   const std::optional<Attempt>& attempt() const { return attempt_; }
   MessageReader& response() { return response_; }
+  // The memory that is reserved for the response.
+  core::MemoryReservation& response_memory() { return response_memory_; }
+  core::MemoryReservation TakeResponseMemory() { return response_memory_.Split(); }
+  void SetMemory(core::MemoryReservation memory) { response_memory_ = std::move(memory); }
   const MessageReader& response() const { return response_; }
   // Returns whether the last byte of the request has been sent; only then may it have run.
   bool IsRequestSent() const;
@@ -152,6 +158,7 @@
   std::optional<Attempt> attempt_;
   Time last_response_at_ = 0;  // when the last response was complete
   MessageReader response_{MessageReader::Kind::kResponse};
+  core::MemoryReservation response_memory_;
   bool is_held_ = false;              // HoldBody was called for the attempt
   std::shared_ptr<BodyStream> body_;  // set while kStreaming
   loop::EventHandle connect_timeout_;
--- a/src/http/target_pool.cpp
+++ b/src/http/target_pool.cpp
@@ -5,6 +5,7 @@
 
 #include "core/attempt_deadline.h"
 #include "core/scheduler_thread.h"
+#include "frontend/memory_log.h"
 #include "http/response_text.h"
 #include "log/event_kinds.h"
 #include "log/log.h"
@@ -29,6 +30,15 @@
 // Request bodies up to this size are copied into the text of the attempt.
 constexpr std::size_t kMaxCopiedBodyBytes = 16 << 10;
 
+// Memory of each response that needs no reservation, bytes: usual responses fit into it.
+constexpr std::size_t kUnreservedBytes = 4 << 10;
+
+// Memory of a response that is passed on while it arrives: in the stream, and unwritten at the client.
+constexpr std::size_t kStreamBytes = 4 * kMaxStreamBytes;
+
+// Time after which responses that wait for memory are tried again, us.
+constexpr Time kMemoryRetryInterval = 5'000;
+
 // Time in which the scheduler must pass on a streamed response, us. Without it the stream has no receiver.
 constexpr Time kReceiverTimeout = 2'000'000;
 
@@ -68,11 +78,14 @@
 
 }  // namespace
 
-TargetPool::TargetPool(event_base* base, const Config& config, core::SubmitInput submit)
+TargetPool::TargetPool(event_base* base, const Config& config, core::MemoryAccount* memory,
+                       core::SubmitInput submit)
     : config_(config),
       submit_(std::move(submit)),
+      memory_(memory),
       max_large_response_bytes_(config.memory_bytes() / kLargeResponseMemoryDivisor),
-      pool_(base, config, this) {}
+      pool_(base, config, this),
+      memory_timer_(loop::MakeTimer(base, [this] { RetryWaiting(); })) {}
 
 TargetPool::~TargetPool() = default;
 
@@ -116,6 +129,7 @@
   const Time timeout = attempt.expires_at - attempt.sent_at;
   FormatRequest(request, pool_.AddressOf(target), &attempt);
   attempts_[attempt.key] = connection;
+  connection->SetMemory({memory_, limits::MemoryOwner::kHttpResponses});
   connection->Assign(std::move(attempt));
   connection->StartAttemptTimeout(timeout);
   if (connection->state() == State::kConnecting) {
@@ -151,6 +165,7 @@
     Fail(from, Outcome::kConnectFailed);
     return;
   }
+  connection->SetMemory({memory_, limits::MemoryOwner::kHttpResponses});
   connection->Assign(from.MoveAttemptOut());
   const Attempt& attempt = *connection->attempt();
   attempts_[attempt.key] = connection;
@@ -175,7 +190,7 @@
 
 void TargetPool::OnHoldTimeout(TargetConnection& connection) {
   if (connection.attempt() && ShouldStream(connection)) {
-    BeginStream(connection);
+    TryBeginStream(connection);
   }
 }
 
@@ -247,13 +262,14 @@
     if (response.head_complete() && !response.declared_length() && ShouldStream(connection)) {
       connection.HoldBody();
     }
+    ReserveMemory(connection);
     return;
   }
   // A response that arrives before its request is completely sent belongs to another request. After a
   // malformed response the request may have run, and the start of the next response is unknown.
   const bool stopped = result == TargetConnection::ParseResult::kStopped;
   if (stopped && ShouldStream(connection)) {
-    BeginStream(connection);
+    TryBeginStream(connection);
     return;
   }
   // The outcome of an unsuccessful response does not depend on its body, which is not read.
@@ -268,6 +284,41 @@
   OnResponse(connection);
 }
 
+// A response that does not get memory is left in the kernel, at most until its attempt times out. Usual ones
+// need no reservation.
+void TargetPool::ReserveMemory(TargetConnection& connection) {
+  const std::size_t held = connection.response().held_bytes();
+  const std::size_t bytes = held > kUnreservedBytes ? held - kUnreservedBytes : 0;
+  if (connection.response_memory().Resize(bytes)) {
+    return;
+  }
+  WaitForMemory(connection, false);
+}
+
+void TargetPool::WaitForMemory(TargetConnection& connection, bool wants_stream) {
+  frontend::LogMemoryLimit(*memory_, limits::MemoryOwner::kHttpResponses, "response_waits",
+                           connection.number());
+  connection.PauseReading();
+  waiting_[connection.attempt()->key] = wants_stream;
+  memory_timer_.Start(kMemoryRetryInterval);
+}
+
+void TargetPool::RetryWaiting() {
+  for (const auto& [key, wants_stream] : std::exchange(waiting_, {})) {
+    const auto at = attempts_.find(key);
+    if (at == attempts_.end()) {
+      continue;
+    }
+    TargetConnection& connection = *at->second;
+    connection.ResumeReading();
+    if (wants_stream) {
+      TryBeginStream(connection);
+    } else {
+      ReserveMemory(connection);
+    }
+  }
+}
+
 // Returns whether the response bodies larger than the protocol's maximum fit into memory; all targets may
 // send such responses at the same time.
 bool TargetPool::HasMemoryForResponses() const {
@@ -314,6 +365,15 @@
          connection.IsRequestSent();
 }
 
+// Streams leave memory to responses that are read completely.
+void TargetPool::TryBeginStream(TargetConnection& connection) {
+  if (connection.response_memory().Resize(kStreamBytes, limits::MemoryPriority::kLow)) {
+    BeginStream(connection);
+  } else {
+    WaitForMemory(connection, true);
+  }
+}
+
 // Completes the attempt with the first bytes of its response, and passes on what follows while it arrives.
 void TargetPool::BeginStream(TargetConnection& connection) {
   const MessageReader& message = connection.response();
@@ -322,6 +382,7 @@
   result.outcome = Outcome::kCompleted;
   ReadLoadHeaders(config_.settings.load_report_fields, header, &result);
   const auto body = std::make_shared<BodyStream>(message.declared_length());
+  body->memory = connection.TakeResponseMemory();
   body->SetSender([this, &connection] { ResumeStream(connection); },
                   [this, &connection] { pool_.Discard(connection); });
   connection.StartStreaming(body);
@@ -385,6 +446,7 @@
   MessageReader& message = connection.response();
   auto response = std::make_shared<Response>();
   response->body = std::move(message.body());
+  response->memory = connection.TakeResponseMemory();
   if (!config_.digests.on) {
     return response;
   }
--- a/src/http/target_pool.h
+++ b/src/http/target_pool.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 
+#include "core/memory_account.h"
 #include "core/port.h"
 #include "http/config.h"
 #include "http/connection_pool.h"
@@ -23,8 +24,8 @@
 
 class TargetPool : public core::Connector, private TargetConnectionHandler {
  public:
-  // `config` must outlive the pool.
-  TargetPool(event_base* base, const Config& config, core::SubmitInput submit);
+  // `config` and `memory` must outlive the pool, and `memory` its responses too.
+  TargetPool(event_base* base, const Config& config, core::MemoryAccount* memory, core::SubmitInput submit);
   ~TargetPool() override;
   TargetPool(const TargetPool&) = delete;
   TargetPool& operator=(const TargetPool&) = delete;
@@ -77,11 +78,17 @@
   void ReadResponse(TargetConnection& connection);
   void OnResponse(TargetConnection& connection);
   bool ShouldStream(const TargetConnection& connection) const;
+  // Begins the stream, or pauses the connection until there is memory for one.
+  void TryBeginStream(TargetConnection& connection);
   void BeginStream(TargetConnection& connection);
   void PassOnBody(TargetConnection& connection);
   void FinishStream(TargetConnection& connection);
   void ResumeStream(TargetConnection& connection);
   std::shared_ptr<const Response> TakeResponse(TargetConnection& connection) const;
+  // Reserves what a response holds, or pauses its connection until there is memory.
+  void ReserveMemory(TargetConnection& connection);
+  void WaitForMemory(TargetConnection& connection, bool wants_stream);
+  void RetryWaiting();
   void OnCorruptedResponse(TargetConnection& connection);
   void ReportNotSent(const loop::AttemptKey& key, const TargetId& target, Outcome outcome);
   void ReportOutcome(TargetConnection& connection, Outcome outcome);
@@ -90,10 +97,13 @@
 
   const Config& config_;
   core::SubmitInput submit_;
+  core::MemoryAccount* memory_;
   std::size_t max_large_response_bytes_;
   std::uint64_t health_checks_ = 0;
   ConnectionPool pool_;
   std::map<loop::AttemptKey, TargetConnection*> attempts_;
+  std::map<loop::AttemptKey, bool> waiting_;  // responses that wait for memory, and whether to be streamed
+  loop::EventHandle memory_timer_;            // while there are any
 };
 
 }  // namespace walnutspur::http
--- a/src/limits/expiring_ids.h
+++ b/src/limits/expiring_ids.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <utility>
 
-#include "limits/duration.h"
+#include "walnutspur/types.h"
 
 namespace walnutspur::limits {
 
--- a/src/limits/memory_budget.h
+++ b/src/limits/memory_budget.h
@@ -27,8 +27,9 @@
   return kNames[static_cast<std::size_t>(owner)];
 }
 
-// A reservation of low priority leaves a part of its owner's memory, and of the sum, to others.
-enum class MemoryPriority { kNormal, kLow };
+// A reservation of low priority leaves a part of its owner's memory, and of the sum, to others. One for
+// memory that is held already always succeeds: what is reserved next finds less.
+enum class MemoryPriority { kNormal, kLow, kHeldAlready };
 
 class MemoryBudget {
  public:
@@ -47,9 +48,9 @@
   // the bound of its owner or of the sum. A reservation that shrinks always succeeds.
   bool Resize(MemoryOwner owner, std::size_t former, std::size_t bytes, MemoryPriority priority) {
     std::size_t& used = used_[static_cast<std::size_t>(owner)];
-    const bool grows = bytes > former;
+    const bool is_checked = bytes > former && priority != MemoryPriority::kHeldAlready;
     const std::size_t kept = priority == MemoryPriority::kLow ? owner_limit_ / kKeptDivisor : 0;
-    if (grows &&
+    if (is_checked &&
         (used - former + bytes > owner_limit_ - kept || total_ - former + bytes > total_limit_ - kept)) {
       return false;
     }
--- a/src/nbd/client_connection.cpp
+++ b/src/nbd/client_connection.cpp
@@ -18,10 +18,15 @@
 // Input of a client that exceeds either limit is not read, which bounds the memory that the client can occupy
 // in the initiator.
 constexpr std::size_t kMaxCommandsInFlight = 32;
-constexpr std::size_t kMaxUnwrittenBytes = 256 << 10;
+constexpr std::size_t kMaxUnwrittenBytes = 64 << 10;
 
-// Number of input bytes that are processed at a time.
+// Number of input bytes that are processed at a time. Fewer in the handshake, where the replies to a few
+// bytes list all exports.
 constexpr std::size_t kReadBytes = 4096;
+constexpr std::size_t kHandshakeReadBytes = 256;
+
+// Time after which a command that waits for memory is tried again, us.
+constexpr Time kMemoryRetryInterval = 5'000;
 
 // Limit of the time from the first to the last byte of a command, us.
 constexpr Time kCommandTimeout = 2'500'000;
@@ -50,6 +55,7 @@
   handshake_timer_ =
       loop::MakeTimer(base, [this] { OnTimeout(EndReason::kHandshakeTimeout, &handshake_timer_); });
   handshake_timer_.Start(config_.handshake_timeout);
+  memory_timer_ = loop::MakeTimer(base, [this] { ResumeReading(); });
   command_timer_ = loop::MakeTimer(base, [this] { OnTimeout(EndReason::kCommandTimeout, &command_timer_); });
   loop::SetCallbacks(stream_.get(), this);
   return true;
@@ -69,10 +75,19 @@
   owner_->OnEnd(*this, reason, "");
 }
 
+void ClientConnection::SetMemory(core::MemoryReservation command, core::MemoryReservation replies) {
+  command_memory_ = std::move(command);
+  reply_memory_ = std::move(replies);
+}
+
+// Passes the bytes to the kernel at once: a client that has gone resets its connection before another command
+// of it is read.
 void ClientConnection::Write(const std::string& bytes) {
   if (!bytes.empty()) {
     loop::Write(stream_.get(), bytes);
+    loop::FlushOutput(stream_.get());
   }
+  reply_memory_.Resize(loop::UnwrittenBytes(stream_.get()), limits::MemoryPriority::kHeldAlready);
 }
 
 void ClientConnection::OnEvent(loop::EventMask what) {
@@ -122,8 +137,14 @@
       PauseReading();
       return;
     }
+    if (!command_memory_.Resize(session_.expected_data_bytes())) {
+      PauseReading();
+      memory_timer_.Start(kMemoryRetryInterval);
+      return;
+    }
     std::array<char, kReadBytes> bytes;
-    const int size = evbuffer_remove(bufferevent_get_input(stream_.get()), bytes.data(), bytes.size());
+    const std::size_t read_bytes = session_.chosen() == nullptr ? kHandshakeReadBytes : bytes.size();
+    const int size = evbuffer_remove(bufferevent_get_input(stream_.get()), bytes.data(), read_bytes);
     if (size <= 0) {
       break;
     }
--- a/src/nbd/client_connection.h
+++ b/src/nbd/client_connection.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "core/engine.h"
+#include "core/memory_account.h"
 #include "frontend/eviction_policy.h"
 #include "loop/loop.h"
 #include "loop/stream.h"
@@ -62,6 +63,10 @@
   void AddInFlight(std::uint64_t cookie, core::RequestNumber request) { in_flight_[cookie] = request; }
   void RemoveInFlight(std::uint64_t cookie) { in_flight_.erase(cookie); }
   void Write(const std::string& bytes);
+  // Sets the reservations for the command that is being received and for unwritten replies.
+  void SetMemory(core::MemoryReservation command, core::MemoryReservation replies);
+  // Returns the reservation of the command that is complete.
+  core::MemoryReservation TakeCommandMemory() { return command_memory_.Split(); }
   // Processes the received bytes until the limit of commands in flight or of unwritten replies is reached.
   // May destroy the connection.
   void ProcessInput();
@@ -96,6 +101,9 @@
   ClientConnectionOwner* owner_;
   ServerSession session_;
   CommandsInFlight in_flight_;
+  core::MemoryReservation command_memory_;  // of the command that is being received
+  core::MemoryReservation reply_memory_;    // of unwritten replies
+  loop::EventHandle memory_timer_;          // while the next command waits for memory
   bool has_sent_command_ = false;
   Time connected_at_ = 0;              // us
   loop::EventHandle handshake_timer_;  // limits the handshake, and the client's read of the last replies
--- a/src/nbd/front_end.cpp
+++ b/src/nbd/front_end.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/scheduler_thread.h"
+#include "frontend/memory_log.h"
 #include "log/event_kinds.h"
 #include "log/log.h"
 #include "loop/address.h"
@@ -22,6 +23,9 @@
 constexpr frontend::EvictionLimits kEvictionLimits = {.handshake_grace = std::chrono::milliseconds(30),
                                                       .first_request_grace = std::chrono::milliseconds(250)};
 
+// Memory of a command in flight without its data, bytes.
+constexpr std::size_t kCommandBytes = 1 << 10;
+
 const char* NameOf(EndReason reason) {
   switch (reason) {
     case EndReason::kClientClosed:
@@ -44,12 +48,13 @@
 
 FrontEnd::FrontEnd(event_base* base, const Config& config, const Settings& settings,
                    std::size_t max_connections, core::RequestNumbers* request_numbers,
-                   core::SubmitInput submit)
+                   core::MemoryAccount* memory, core::SubmitInput submit)
     : base_(base),
       config_(config),
       settings_(settings),
       max_connections_(max_connections),
       request_numbers_(request_numbers),
+      memory_(memory),
       submit_(std::move(submit)),
       shutdown_(kShutdownLimits),
       eviction_(kEvictionLimits),
@@ -70,6 +75,8 @@
     return;
   }
   ClientConnection& client = *accepted;
+  client.SetMemory({memory_, limits::MemoryOwner::kNbdCommands},
+                   {memory_, limits::MemoryOwner::kNbdCommands});
   clients_[client.number()] = std::move(accepted);
   if (on_accept) {
     on_accept(client.stream());
@@ -125,7 +132,12 @@
 
 void FrontEnd::OnCommand(ClientConnection& connection, Request request) {
   const std::uint64_t cookie = request.cookie;
-  if (const auto rejection = Check(connection, request)) {
+  core::MemoryReservation memory = connection.TakeCommandMemory();
+  std::optional<CommandError> rejection = Check(connection, request);
+  if (!rejection && !Reserve(connection, request, &memory)) {
+    rejection = CommandError{kNoMemory, "no memory for the command"};
+  }
+  if (rejection) {
     std::string out;
     connection.session().Reply(cookie, rejection->error, rejection->message, &out);
     connection.Write(out);
@@ -133,12 +145,26 @@
   }
   const Volume& volume = VolumeOf(connection);
   core::RequestReceived received = MakeRequest(volume, request);
-  received.payload = MakePayload(volume, std::move(request));
+  const std::shared_ptr<CommandPayload> payload = MakePayload(volume, std::move(request));
+  payload->memory = std::move(memory);
+  received.payload = payload;
   connection.AddInFlight(cookie, received.request);
   pending_.Add(received.request, received.deadline, {connection.number(), cookie});
   submit_(std::move(received));
 }
 
+// The data of a read is held twice while its reply is put together.
+bool FrontEnd::Reserve(const ClientConnection& connection, const Request& request,
+                       core::MemoryReservation* memory) const {
+  const std::size_t data = request.type == kRead ? 2 * std::size_t{request.length} : request.data.size();
+  if (memory->Resize(kCommandBytes + data)) {
+    return true;
+  }
+  frontend::LogMemoryLimit(*memory_, limits::MemoryOwner::kNbdCommands, "command_rejected",
+                           connection.number());
+  return false;
+}
+
 std::optional<CommandError> FrontEnd::Check(const ClientConnection& connection,
                                             const Request& request) const {
   if (draining()) {
--- a/src/nbd/front_end.h
+++ b/src/nbd/front_end.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <unordered_map>
 
+#include "core/memory_account.h"
 #include "core/port.h"
 #include "frontend/eviction_policy.h"
 #include "frontend/pending_requests.h"
@@ -31,9 +32,10 @@
 class FrontEnd : public core::FrontEnd, private ClientConnectionOwner {
  public:
   // Starts listening on Config::listen; throws loop::ListenError or loop::AddressError on failure.
-  // `max_connections` limits the number of clients. All references and pointers must outlive the front end.
+  // `max_connections` limits the number of clients. All references and pointers must outlive the front end,
+  // and `memory` its requests too.
   FrontEnd(event_base* base, const Config& config, const Settings& settings, std::size_t max_connections,
-           core::RequestNumbers* request_numbers, core::SubmitInput submit);
+           core::RequestNumbers* request_numbers, core::MemoryAccount* memory, core::SubmitInput submit);
   ~FrontEnd() override;
 
   // core::FrontEnd
@@ -68,6 +70,9 @@
   std::optional<CommandError> Check(const ClientConnection& connection, const Request& request) const;
   const Volume& VolumeOf(const ClientConnection& connection) const;
   core::RequestReceived MakeRequest(const Volume& volume, const Request& request);
+  // Reserves the memory of a command and its reply. Returns whether there is enough.
+  bool Reserve(const ClientConnection& connection, const Request& request,
+               core::MemoryReservation* memory) const;
   std::shared_ptr<CommandPayload> MakePayload(const Volume& volume, Request request) const;
 
   event_base* base_;
@@ -75,6 +80,7 @@
   const Settings& settings_;
   std::size_t max_connections_;
   core::RequestNumbers* request_numbers_;
+  core::MemoryAccount* memory_;
   core::SubmitInput submit_;
   frontend::ShutdownSequence shutdown_;
   frontend::EvictionPolicy eviction_;
--- a/src/nbd/payload.h
+++ b/src/nbd/payload.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/engine.h"
+#include "core/memory_account.h"
 #include "integrity/slice.h"
 #include "nbd/protocol.h"
 
@@ -20,6 +21,7 @@
   std::string remote;                  // name of the export at the target
   int path = 0;                        // index into Target::addresses
   int volume = -1;                     // index into Config::volumes if the export is checksummed, else -1
+  core::MemoryReservation memory;      // of a client's command: its data, or that of its reply
 };
 
 // The data of a read.
--- a/src/nbd/server_session.h
+++ b/src/nbd/server_session.h
@@ -4,6 +4,7 @@
 #ifndef WALNUTSPUR_NBD_SERVER_SESSION_H_
 #define WALNUTSPUR_NBD_SERVER_SESSION_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -31,6 +32,10 @@
     return state_ == State::kData || state_ == State::kSkip ||
            (state_ == State::kHeader && input_.size() > 0);
   }
+  // Returns the size of the data that is being received and held until it is complete.
+  std::size_t expected_data_bytes() const {
+    return state_ == State::kData || state_ == State::kOptionData ? remaining_ : 0;
+  }
   // Returns the protocol error that has ended the session; empty if the client has ended it regularly.
   const std::string& error() const { return error_; }
 
--- a/tests/net/endpoint_list_test.cpp
+++ b/tests/net/endpoint_list_test.cpp
@@ -65,6 +65,22 @@
   CHECK(ReadObjects(one.substr(0, one.size() - 1), 5) == StreamResult{});
 }
 
+// Guards against a list whose parsed form takes many times the memory of its text.
+TEST_CASE("JsonStream: an object with more values than its maximum size allows is an error") {
+  constexpr std::size_t kMaxBytes = 3'200;  // allows 100 values
+  for (const int values : {90, 110}) {
+    std::string text = "{\"a\":[";
+    for (int value = 0; value < values; ++value) {
+      text += value == 0 ? "[]" : ",[]";
+    }
+    int objects = 0;
+    http::JsonStream stream(kMaxBytes, [&](const std::string&) { return ++objects > 0; });
+    const std::string error = stream.Feed(text + "]}");
+    CHECK(error.empty() == (values == 90));
+    CHECK(objects == (values == 90 ? 1 : 0));
+  }
+}
+
 TEST_CASE("JsonStream: an object of 4 MiB is read; one byte more is an error") {
   const std::string largest = "{\"x\":\"" + std::string(kMaxObjectBytes - 8, 'y') + "\"}";
   REQUIRE(largest.size() == kMaxObjectBytes);
--- a/tests/net/engine_test.cpp
+++ b/tests/net/engine_test.cpp
@@ -118,6 +118,7 @@
   Outcome outcome = Outcome::kCancelled;
   bool is_repeat_rejected = true;
   SUBCASE("not idempotent, may have run") {}
+  SUBCASE("not idempotent, failed") { outcome = Outcome::kErrored; }
   SUBCASE("not idempotent, never ran") {
     outcome = Outcome::kConnectFailed;
     is_repeat_rejected = false;
--- a/tests/net/nbd_front_end_test.cpp
+++ b/tests/net/nbd_front_end_test.cpp
@@ -2,8 +2,12 @@
 #include <doctest/doctest.h>
 #include <poll.h>
 
+#include <thread>
+#include <variant>
+
 #include "nbd/config.h"
 #include "nbd/front_end.h"
+#include "nbd/messages.h"
 #include "nbd_handshake.h"
 #include "scenario_runner.h"
 
@@ -232,6 +236,77 @@
   CHECK(runner.initiator().nbd_front_end()->connections() <= 6);
 }
 
+// Guards against commands of many clients that exceed the memory limit together.
+TEST_CASE(
+    "NBD front end: writes wait for memory, reads without it are refused, and all are answered or "
+    "submitted") {
+  constexpr std::size_t kMemoryBytes = 2 << 20;  // of which a quarter is for commands
+  constexpr std::uint32_t kDataBytes = 64 << 10;
+  constexpr std::size_t kWrites = 16;
+  std::unique_ptr<event_base, loop::Deleter<event_base_free>> base(event_base_new());
+  nbd::Config config;
+  config.listen = "127.0.0.1:0";
+  config.exports = {{"a", 1 << 30, kDataBytes}};
+  config.volumes.resize(1);
+  config.classes = {{nbd::kRead, 0}, {nbd::kWrite, 0}};
+  Settings settings;
+  settings.classes.resize(1);
+  settings.classes[0].deadline = 60'000'000;
+  core::RequestNumbers numbers;
+  core::MemoryAccount memory(kMemoryBytes);
+  std::vector<core::RequestReceived> submitted;
+  std::size_t received = 0;
+  nbd::FrontEnd front(base.get(), config, settings, 4, &numbers, &memory, [&](core::Input input) {
+    if (auto* request = std::get_if<core::RequestReceived>(&input)) {
+      ++received;
+      submitted.push_back(std::move(*request));
+    }
+  });
+  Socket client = Socket::Connect(front.port());
+  std::string commands = nbd::ClientFlags() + GoOption("a");
+  nbd::Request request;
+  request.length = kDataBytes;
+  for (request.cookie = 0; request.cookie < kWrites; ++request.cookie) {
+    request.type = nbd::kWrite;
+    nbd::PutRequest(request, &commands);
+    commands.append(kDataBytes, 'w');
+  }
+  std::thread sender([&] { client.Send(commands); });
+  const auto run_until = [&](auto condition) {
+    const Time end = core::Now() + 4'000'000;
+    while (!condition() && core::Now() < end) {
+      event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    }
+    return condition();
+  };
+  CHECK(run_until([&] { return memory.budget().total() + kDataBytes > memory.budget().total_limit(); }));
+  for (int turn = 0; turn < 1'000; ++turn) {
+    event_base_loop(base.get(), EVLOOP_NONBLOCK);
+  }
+  CHECK(received < kMemoryBytes / 4 / kDataBytes);
+  CHECK(run_until([&] {
+    submitted.clear();  // their memory is free again
+    return received == kWrites;
+  }));
+  sender.join();
+  submitted.clear();
+  core::MemoryReservation rest(&memory, limits::MemoryOwner::kHttpRequests);
+  CHECK(rest.Resize(memory.budget().total_limit() - memory.budget().total()));
+  client.received.clear();
+  commands.clear();
+  request.type = nbd::kRead;
+  nbd::PutRequest(request, &commands);
+  REQUIRE(client.Send(commands));
+  const std::string refused = "\x67\x44\x66\x98\0\0\0"s + static_cast<char>(nbd::kNoMemory);
+  CHECK(run_until([&] {
+    if (client.Readable(0)) {
+      client.Fill(0);
+    }
+    return client.received.find(refused) != std::string::npos;
+  }));
+  CHECK(received == kWrites);
+}
+
 TEST_CASE("NBD configuration: deploy/nbd.toml is valid, and invalid text is rejected") {
   Settings settings;
   settings.max_request_units = 6;
--- a/tests/net/pool_fixture.h
+++ b/tests/net/pool_fixture.h
@@ -25,7 +25,7 @@
   PoolFixture() {
     config.connect_timeout = 100'000;
     base.reset(event_base_new());
-    pool = std::make_unique<http::TargetPool>(base.get(), config, [this](core::Input input) {
+    pool = std::make_unique<http::TargetPool>(base.get(), config, &memory, [this](core::Input input) {
       results.push_back(std::get<core::AttemptResult>(std::move(input)));
     });
     listener = Socket::Listen(&port);
@@ -73,6 +73,7 @@
 
   http::Config config;
   loop::EventBasePtr base;
+  core::MemoryAccount memory{config.memory_bytes()};
   std::unique_ptr<http::TargetPool> pool;
   std::vector<core::AttemptResult> results;
   Socket listener;
--- a/tests/net/target_pool_test.cpp
+++ b/tests/net/target_pool_test.cpp
@@ -8,6 +8,7 @@
 
 #include "app/platform.h"
 #include "http/messages.h"
+#include "pool_fixture.h"
 #include "scenario_runner.h"
 
 namespace walnutspur::test {
@@ -19,7 +20,8 @@
   const http::Config config = app::ParseConfig(json);
   const loop::EventBasePtr base(event_base_new());
   std::vector<core::HealthCheckResult> results;
-  http::TargetPool pool(base.get(), config, [&](core::Input input) {
+  core::MemoryAccount memory(config.memory_bytes());
+  http::TargetPool pool(base.get(), config, &memory, [&](core::Input input) {
     results.push_back(std::get<core::HealthCheckResult>(input));
     event_base_loopbreak(base.get());
   });
@@ -52,7 +54,8 @@
   json["discovery"] = "127.0.0.1:1";
   const http::Config config = app::ParseConfig(json);
   const loop::EventBasePtr base(event_base_new());
-  http::TargetPool pool(base.get(), config, [](core::Input) {});
+  core::MemoryAccount memory(config.memory_bytes());
+  http::TargetPool pool(base.get(), config, &memory, [](core::Input) {});
   for (int i = 0; i < 1'000; ++i) {
     pool.SetAddress("t" + std::to_string(i), "127.0.0.1:1");
     pool.Drain("t" + std::to_string(i));
@@ -83,5 +86,31 @@
   CHECK(without_report.load_report.empty());
 }
 
+// Guards against responses of many targets that exceed the memory limit together.
+TEST_CASE("TargetPool: a response waits for memory, and is read once there is some") {
+  constexpr std::size_t kBodyBytes = 60'000;
+  PoolFixture fixture;
+  core::MemoryReservation held(&fixture.memory, limits::MemoryOwner::kHttpResponses);
+  REQUIRE(held.Resize(fixture.memory.budget().owner_limit() - kBodyBytes / 2));
+  fixture.Start(1);
+  Socket target = fixture.Accept();
+  CHECK(fixture.ReceivedOn(target) == "GET /api/1");
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n";
+  REQUIRE(target.Send(head + std::string(kBodyBytes, 'x')));
+  const Time end = core::Now() + 100'000;
+  while (core::Now() < end) {
+    event_base_loop(fixture.base.get(), EVLOOP_NONBLOCK);
+  }
+  CHECK(fixture.results.empty());
+  CHECK(fixture.memory.budget().used(limits::MemoryOwner::kHttpResponses) <=
+        fixture.memory.budget().owner_limit());
+  held.Release();
+  fixture.RunUntil([&] { return !fixture.results.empty(); });
+  CHECK(fixture.results.front().outcome == Outcome::kCompleted);
+  CHECK(fixture.memory.budget().total() >= kBodyBytes - 4'096);
+  fixture.results.clear();
+  CHECK(fixture.memory.budget().total() == 0);
+}
+
 }  // namespace
 }  // namespace walnutspur::test
