Memory budget, JSON stream, flow table: constants and lambdas as the linter wants them

Cause: make tidy found constants of classes in the wrong case style, a structured binding in a lambda and a cast. Change: the constants stand in their namespaces, the binding gets a name. No behaviour changes.

--- a/src/decision/flow_table.cpp
+++ b/src/decision/flow_table.cpp
@@ -50,9 +50,9 @@
       const Flow& flow = entry.second;
       return !in_use.contains(&flow) && flow.last_arrival < idle_since;
     };
-    std::erase_if(flows.waiting,
-                  [&](const auto& entry) { return is_idle(*flows.by_volume.find(entry.first)); });
-    std::erase_if(flows.by_volume, is_idle);
+    std::map<int, Flow>& by_volume = flows.by_volume;
+    std::erase_if(flows.waiting, [&](const auto& entry) { return is_idle(*by_volume.find(entry.first)); });
+    std::erase_if(by_volume, is_idle);
   }
   std::erase_if(shards_, [](const auto& entry) { return entry.second.by_volume.empty(); });
 }
--- a/src/http/json_stream.h
+++ b/src/http/json_stream.h
@@ -18,6 +18,9 @@
 
 namespace walnutspur::http {
 
+// Bytes of an object's maximum size for each value that it may have.
+constexpr std::size_t kBytesPerValue = 32;
+
 class JsonStream {
  public:
   // Receives one complete object; returns whether to continue reading.
@@ -46,8 +49,6 @@
     void operator()(yajl_handle_t* handle) const;
   };
 
-  static constexpr std::size_t kBytesPerValue = 32;
-
   std::size_t max_object_bytes_;
   OnObject on_object_;
   Counts counts_;
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -279,7 +279,8 @@
 }
 
 std::string_view MessageReader::NameOf(const Field& field) const {
-  return std::string_view(field_text_).substr(field.name, field.value - field.name - 1);
+  const std::string_view text = field_text_;
+  return text.substr(field.name, field.value - field.name - 1);
 }
 
 const char* MessageReader::Find(std::string_view name) const {
--- a/src/lab/pressure/pressure_client.cpp
+++ b/src/lab/pressure/pressure_client.cpp
@@ -211,7 +211,7 @@
   return reads;
 }
 
-std::string PressureClient::NextBytes() {
+std::string PressureClient::NextBytes() const {
   std::string bytes;
   for (int request = 0; request < kRequestsAtOnce; ++request) {
     switch (options_.kind) {
--- a/src/lab/pressure/pressure_client.h
+++ b/src/lab/pressure/pressure_client.h
@@ -87,7 +87,7 @@
   void Disconnect(Connection& connection);
   // Returns what is sent first on each connection, and what is sent whenever the bytes before it are written.
   std::string FirstBytes();
-  std::string NextBytes();
+  std::string NextBytes() const;
   std::string NextRead(Time deadline);
   std::string NextReads();
   bool ReadsResponses() const;
--- a/src/limits/memory_budget.h
+++ b/src/limits/memory_budget.h
@@ -31,6 +31,16 @@
 // memory that is held already always succeeds: what is reserved next finds less.
 enum class MemoryPriority { kNormal, kLow, kHeldAlready };
 
+// Each owner may use the memory of the process divided by this number.
+constexpr std::size_t kOwnerDivisor = 4;
+// Reservations of low priority leave the owner's memory divided by this number.
+constexpr std::size_t kKeptDivisor = 4;
+// Memory of a process without clients, its tables and its connections, bytes.
+constexpr std::size_t kProcessBytes = 14 << 20;
+// All owners together may use this fraction of the rest: the heap also holds the gaps between allocations.
+constexpr std::size_t kHeapOverheadFactor = 3;
+constexpr std::size_t kHeapOverheadDivisor = 4;
+
 class MemoryBudget {
  public:
   // `process_bytes` is the memory limit of the process.
@@ -65,16 +75,6 @@
   std::size_t total_limit() const { return total_limit_; }
 
  private:
-  // Each owner may use the memory of the process divided by this number.
-  static constexpr std::size_t kOwnerDivisor = 4;
-  // Reservations of low priority leave the owner's memory divided by this number.
-  static constexpr std::size_t kKeptDivisor = 4;
-  // Memory of a process without clients, its tables and its connections, bytes.
-  static constexpr std::size_t kProcessBytes = 14 << 20;
-  // All owners together may use this fraction of the rest: the heap also holds the gaps between allocations.
-  static constexpr std::size_t kHeapOverheadFactor = 3;
-  static constexpr std::size_t kHeapOverheadDivisor = 4;
-
   std::size_t owner_limit_ = 0;
   std::size_t total_limit_ = 0;
   std::size_t total_ = 0;
