Memory budget: chunked bodies count with their buffer, small requests keep 4 MB at most

Cause: a chunked body counted twice its size, and requests over 16 KiB left a quarter of the memory for requests, so that bodies of 18 MB and more were rejected at a limit of 192 MB that had been accepted before. Change: a large body without a length grows by an eighth and counts with its buffer; what is left to small requests is 4 MB at most.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -12,6 +12,9 @@
 // Maximum total size of head, chunk size lines and trailers.
 constexpr std::size_t kMaxLineBytes = 16 << 10;
 
+// A large body without a declared length gets this fraction of its size as spare room.
+constexpr std::size_t kLargeBodyGrowthDivisor = 8;
+
 // Maximum number of headers of a message.
 constexpr std::size_t kMaxFields = 256;
 
@@ -149,7 +152,6 @@
   OnLine(line);
 }
 
-// A body that grows without a declared length occupies up to twice its size while its buffer is enlarged.
 std::size_t MessageReader::held_bytes() const {
   const std::size_t head = line_.capacity() + method_.capacity() + uri_.capacity() + field_text_.capacity() +
                            fields_.capacity() * sizeof(Field);
@@ -157,7 +159,7 @@
   if (kind_ == Kind::kResponse || declared <= kProtocolBodyBytes) {
     return head + body_.capacity();
   }
-  return head + (declared_length_ ? declared : 2 * declared);
+  return head + std::max(declared, body_.capacity());
 }
 
 // Allocates a request's large body of declared length at once, so that its buffer is never copied to a larger
@@ -166,9 +168,15 @@
   if (needed <= body_.capacity()) {
     return;
   }
-  const std::size_t declared = body_.size() + static_cast<std::size_t>(remaining_bytes_);
-  const bool is_large = kind_ == Kind::kRequest && declared_length_ && declared > kProtocolBodyBytes;
-  body_.reserve(is_large ? declared : std::min(declared, std::max(needed, 2 * body_.capacity())));
+  const std::size_t declared = declared_body_bytes();
+  const bool is_large = kind_ == Kind::kRequest && declared > kProtocolBodyBytes;
+  if (is_large && declared_length_) {
+    body_.reserve(declared);
+  } else if (is_large) {
+    body_.reserve(needed + needed / kLargeBodyGrowthDivisor);
+  } else {
+    body_.reserve(std::min(declared, std::max(needed, 2 * body_.capacity())));
+  }
 }
 
 void MessageReader::End() {
--- a/src/limits/memory_budget.h
+++ b/src/limits/memory_budget.h
@@ -33,8 +33,9 @@
 
 // Each owner may use the memory of the process divided by this number.
 constexpr std::size_t kOwnerDivisor = 4;
-// Reservations of low priority leave the owner's memory divided by this number.
+// Reservations of low priority leave the owner's memory divided by this number, at most these bytes.
 constexpr std::size_t kKeptDivisor = 4;
+constexpr std::size_t kMaxKeptBytes = 4 << 20;
 // Memory of a process without clients, its tables and its connections, bytes.
 constexpr std::size_t kProcessBytes = 14 << 20;
 // All owners together may use this fraction of the rest: the heap also holds the gaps between allocations.
@@ -59,7 +60,8 @@
   bool Resize(MemoryOwner owner, std::size_t former, std::size_t bytes, MemoryPriority priority) {
     std::size_t& used = used_[static_cast<std::size_t>(owner)];
     const bool is_checked = bytes > former && priority != MemoryPriority::kHeldAlready;
-    const std::size_t kept = priority == MemoryPriority::kLow ? owner_limit_ / kKeptDivisor : 0;
+    const std::size_t kept =
+        priority == MemoryPriority::kLow ? std::min(owner_limit_ / kKeptDivisor, kMaxKeptBytes) : 0;
     if (is_checked &&
         (used - former + bytes > owner_limit_ - kept || total_ - former + bytes > total_limit_ - kept)) {
       return false;
