Fix: an id ran again if its client left while the response was on its way

Cause: the engine counts a request as served when its attempt ends. The client may have left by then: the front end had not noticed (no ClientClosed), or the response lay in the stream's buffer until the loop's next iteration. Change: FrontEnd::Respond asks the kernel whether the client is there; a client that is not is reported to the engine, which then keeps the id (served ids are kept for 1 s, 1,024 at most, for that). A response is passed to the kernel at once. In the pressure run an id whose request has a response is not used again, since it is free then; each connection has an id of its own.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -14,6 +14,11 @@
 // Time for which the id of a request that may have run is kept, us: longer than any client waits.
 constexpr Time kRequestIdLifetime = 60'000'000;
 
+// Time in which a front end has passed on a response or found that its client has left, us, and the maximum
+// number of requests in that time.
+constexpr Time kDeliveryTime = 1'000'000;
+constexpr std::size_t kMaxServedIds = 1'024;
+
 }  // namespace
 
 Engine::Engine(const Settings& settings, std::uint64_t seed) : Engine(settings, DecisionFunction()) {
@@ -95,7 +100,12 @@
 
 void Engine::HandleInput(const ClientClosed& input) {
   const auto position = requests_.find(input.request);
-  if (position == requests_.end() || position->second.finished) {
+  if (position == requests_.end()) {
+    OnResponseUndelivered(input.request);
+    return;
+  }
+  if (position->second.finished) {
+    position->second.was_served = false;  // its client did not get the response
     return;
   }
   position->second.finished = true;
@@ -332,18 +342,37 @@
     return;
   }
   client_request_ids_.erase(request.client_request_id);
-  RememberId(request);
+  RememberId(number, request);
   requests_.erase(position);
 }
 
-void Engine::RememberId(const RequestState& request) {
-  const bool may_run_again = request.is_idempotent || !request.may_have_run || request.was_served;
-  if (request.client_request_id.empty() || may_run_again) {
+void Engine::RememberId(RequestNumber number, const RequestState& request) {
+  if (request.client_request_id.empty() || request.is_idempotent || !request.may_have_run) {
+    return;
+  }
+  if (!request.was_served) {
+    RememberId(request.client_request_id);
     return;
   }
-  if (executed_ids_.Add(request.client_request_id, now_)) {
+  served_ids_.push_back({number, request.client_request_id, now_});
+  while (now_ - served_ids_.front().served_at > kDeliveryTime || served_ids_.size() > kMaxServedIds) {
+    served_ids_.pop_front();
+  }
+}
+
+void Engine::RememberId(const std::string& id) {
+  if (!executed_ids_.Contains(id, now_) && executed_ids_.Add(id, now_)) {
     outputs_.emplace_back(TableLimitReached{LimitedTable::kRequestIds, executed_ids_.size()});
   }
 }
 
+void Engine::OnResponseUndelivered(RequestNumber number) {
+  const auto served = std::find_if(served_ids_.begin(), served_ids_.end(),
+                                   [number](const ServedId& each) { return each.request == number; });
+  if (served != served_ids_.end()) {
+    RememberId(served->id);
+    served_ids_.erase(served);
+  }
+}
+
 }  // namespace walnutspur::core
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -49,7 +50,8 @@
   // use.
   std::size_t table_entries() const {
     return (scheduler_ ? scheduler_->table_entries() : 0) + requests_.size() + client_request_ids_.size() +
-           executed_ids_.size() + active_targets_.size() + pending_events_.size() + cordons_.table_entries();
+           executed_ids_.size() + served_ids_.size() + active_targets_.size() + pending_events_.size() +
+           cordons_.table_entries();
   }
 
  private:
@@ -104,8 +106,12 @@
   void SendResponse(RequestNumber number, ResponseStatus status, Time retry_after, PayloadRef payload);
   // Removes a request that is finished and has no attempt without an outcome.
   void EraseIfClosed(RequestNumber number);
-  // Keeps the id of a request that must not run again.
-  void RememberId(const RequestState& request);
+  // Keeps the id of a request that must not run again. If the request was served, only until its client can
+  // have the response.
+  void RememberId(RequestNumber number, const RequestState& request);
+  void RememberId(const std::string& id);
+  // Handles a client that had left before it could have the response of its served request.
+  void OnResponseUndelivered(RequestNumber number);
   RequestTable::iterator FindRequest(const RequestId& id);
 
   std::unique_ptr<Scheduler> scheduler_;  // null if the caller passed a decision function
@@ -119,6 +125,13 @@
   RequestTable requests_;
   std::set<std::string> client_request_ids_;  // ids of the open requests
   limits::ExpiringIds executed_ids_;          // ids of requests that may have run and must not run again
+  // The id of a request that was served, while its client may turn out to have left before.
+  struct ServedId {
+    RequestNumber request = 0;
+    std::string id;
+    Time served_at = 0;
+  };
+  std::deque<ServedId> served_ids_;
   std::set<TargetId> active_targets_;
   decision::CordonTable cordons_;
   std::vector<Output> outputs_;        // caused by the current input
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -238,6 +238,7 @@
   BeginResponse();
   response_memory_ = std::move(memory);
   loop::Write(stream_.get(), FormatResponse(status, body, headers, close_after_response_));
+  loop::FlushOutput(stream_.get());
   EndResponse();
 }
 
--- a/src/http/front_end.cpp
+++ b/src/http/front_end.cpp
@@ -188,7 +188,9 @@
   submit_(std::move(request));
 }
 
+// The engine learns of a client that has left before its response, so that the request's id stays in use.
 void FrontEnd::Respond(const core::Response& response) {
+  IsClientConnected(response.request);
   const auto pending = pending_.TakeCompleted(response.request);
   if (!pending) {
     AbandonStream(response);  // the client has disconnected
--- a/src/lab/pressure/pressure_client.cpp
+++ b/src/lab/pressure/pressure_client.cpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 
 #include "lab/fakes/platform_request.h"
+#include "loop/peer.h"
 
 namespace walnutspur::lab::pressure {
 namespace {
@@ -104,13 +105,22 @@
     return;
   }
   if (options_.kind == PressureKind::kRepeatedIds) {
-    Disconnect(connection);
+    LeaveBeforeResponse(connection);
     return;
   }
   Write(connection, std::string(kPieceBytes, 'x'));
   connection.next_step.Start(kPieceInterval);
 }
 
+// An id whose request has a response is not used again.
+void PressureClient::LeaveBeforeResponse(Connection& connection) {
+  bufferevent* stream = connection.stream.get();
+  if (loop::BufferedInputBytes(stream) > 0 || loop::HasUnreadBytes(bufferevent_getfd(stream))) {
+    connection.uses_of_id = 0;
+  }
+  Disconnect(connection);
+}
+
 void PressureClient::Disconnect(Connection& connection) {
   connection.stream.reset();
   connection.next_step.Start(kReconnectDelay);
@@ -129,7 +139,7 @@
     if (!ReadsResponses()) {
       loop::PauseReading(connection.stream.get());
     }
-    Write(connection, FirstBytes());
+    Write(connection, FirstBytes(connection));
     if (options_.kind == PressureKind::kSlowBodies) {
       connection.next_step.Start(kPieceInterval);
     } else if (options_.kind == PressureKind::kRepeatedIds) {
@@ -143,6 +153,7 @@
 void PressureClient::OnReadable(Connection& connection) {
   const std::size_t size = loop::BufferedInputBytes(connection.stream.get());
   bytes_read_ += size;
+  connection.uses_of_id = 0;
   loop::DrainInput(connection.stream.get(), size);
   if (options_.kind == PressureKind::kNewVolumes) {
     Write(connection, NextRead(kShortDeadline));
@@ -168,7 +179,7 @@
   return options_.kind != PressureKind::kUnreadResponses && options_.kind != PressureKind::kReadinessChecks;
 }
 
-std::string PressureClient::FirstBytes() {
+std::string PressureClient::FirstBytes(Connection& connection) {
   switch (options_.kind) {
     case PressureKind::kPartialBodies:
       return BodyHead(next_request_++, kBodyBytes) + std::string(kBodyBytes - 1, 'x');
@@ -185,7 +196,10 @@
     case PressureKind::kAbandonedRequests:
       return NextReads();
     case PressureKind::kRepeatedIds:
-      return BodyHead(kFirstRequest + (next_request_++ - kFirstRequest) / kUsesOfId, 1) + "x";
+      if (connection.uses_of_id++ % kUsesOfId == 0) {
+        connection.repeated_id = next_request_++;
+      }
+      return BodyHead(connection.repeated_id, 1) + "x";
     case PressureKind::kReadinessChecks:
     case PressureKind::kUnsoundRequests:
       return NextBytes();
--- a/src/lab/pressure/pressure_client.h
+++ b/src/lab/pressure/pressure_client.h
@@ -76,6 +76,8 @@
     PressureClient* owner = nullptr;
     loop::StreamPtr stream;
     loop::EventHandle next_step;  // connects, or writes the next piece
+    std::uint64_t repeated_id = 0;
+    std::uint64_t uses_of_id = 0;  // of repeated_id so far
   };
 
   void Step(Connection& connection);
@@ -85,8 +87,9 @@
   void OnEvent(Connection& connection, loop::EventMask events);
   void Write(Connection& connection, std::string_view bytes);
   void Disconnect(Connection& connection);
+  void LeaveBeforeResponse(Connection& connection);
   // Returns what is sent first on each connection, and what is sent whenever the bytes before it are written.
-  std::string FirstBytes();
+  std::string FirstBytes(Connection& connection);
   std::string NextBytes() const;
   std::string NextRead(Time deadline);
   std::string NextReads();
--- a/tests/net/engine_test.cpp
+++ b/tests/net/engine_test.cpp
@@ -160,6 +160,26 @@
   }
 }
 
+TEST_CASE("Engine: an id whose client had left before it could have the response does not run again") {
+  for (const bool left : {false, true}) {
+    EngineFixture fixture(Idempotency::kNotIdempotent);
+    core::RequestReceived arrived;
+    arrived.request = 1;
+    arrived.client_request_id = "9b1f03aa5c7e2d41";
+    arrived.attributes.shard = 0;
+    arrived.deadline = fixture.now + 600 * kMs;
+    fixture.Handle(arrived);
+    fixture.FinishAttempt(0, Outcome::kCompleted);
+    if (left) {
+      fixture.Handle(core::ClientClosed{1});  // the front end had not passed on the response
+    }
+    fixture.outputs.clear();
+    arrived.request = 2;
+    fixture.Handle(arrived);
+    CHECK(fixture.OutputsOf<core::StartAttempt>().empty() == left);
+  }
+}
+
 TEST_CASE("ExpiringIds: ids are kept for their time, and beyond the maximum the oldest is forgotten") {
   limits::ExpiringIds ids(10 * kMs);
   ids.set_max_size(2);
