--- a/src/lab/pressure/pressure_client.cpp
+++ b/src/lab/pressure/pressure_client.cpp
@@ -97,6 +97,7 @@
 PressureClient::~PressureClient() {
   loop_.Stop();
   connections_.clear();
+  event_base_loop(loop_.base(), EVLOOP_NONBLOCK);  // frees streams with a pending callback
 }
 
 void PressureClient::Step(Connection& connection) {
