Review cases: a signal to a script ends its processes, and a process that ended is code 2

A script that gets SIGTERM or SIGINT ends the case's program, and with it all processes that it started. A case in which the initiator was ended from outside exits with 2 and not with 1; none of the cases is about a process that ends.

--- a/review/common-2/lab.h
+++ b/review/common-2/lab.h
@@ -63,7 +63,6 @@
   return value == nullptr || std::string(value) != "0";
 }
 
-class Initiator;
 inline std::set<pid_t>& Started() {
   static std::set<pid_t> started;
   return started;
@@ -82,7 +81,13 @@
   Record("the case could not run: %s", why.c_str());
   Exit(2);
 }
+// No case is about a process that ends: if one did, it was ended from outside.
 [[noreturn]] inline void Verdict(bool held, const std::string& what) {
+  for (const pid_t pid : Started()) {
+    if (waitpid(pid, nullptr, WNOHANG) == pid) {
+      CannotRun("process " + std::to_string(pid) + " has ended");
+    }
+  }
   Record("%s: %s", held ? "HELD" : "BROKEN", what.c_str());
   Exit(held ? 0 : 1);
 }
--- a/review/common-2/run_case.sh
+++ b/review/common-2/run_case.sh
@@ -7,9 +7,13 @@
 fi
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' "$root/deploy/balancer.toml")
 temporary=$(mktemp -d) || exit 2
+child=
 trap 'rm -rf "$temporary"' EXIT
+trap '[ -n "$child" ] && kill -KILL "$child" 2>/dev/null; exit 2' HUP INT TERM  # its processes end with it
 cd "$root" || exit 2
-TROUBLE="${TROUBLE:-1}" CASE_RUN="$run" CASE_TMP="$temporary" "$program" > "$folder/record.txt" 2>&1
+TROUBLE="${TROUBLE:-1}" CASE_RUN="$run" CASE_TMP="$temporary" "$program" > "$folder/record.txt" 2>&1 &
+child=$!
+wait "$child"
 code=$?
 tail -n 3 "$folder/record.txt"
 case $code in
