--- a/review/common-2/http_lab.h
+++ b/review/common-2/http_lab.h
@@ -170,13 +170,14 @@
          R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":)" + known +
          R"(,"settings":{"nInstances":1,"discovery":"subscribe","classes":[
   {"name":"slot-lookup","aim":120000,"deadline":750000,"effect":"safe","worth":3,"lateWorth":0.2},
-  {"name":"new-booking","aim":200000,"deadline":1200000,"effect":"unsafe","worth":2,"lateWorth":0.2}],
+  {"name":"new-booking","aim":200000,"deadline":1200000,"effect":"unsafe","worth":2,"lateWorth":0.2},
+  {"name":"schedule-export","aim":750000,"deadline":2500000,"effect":"safe","worth":1,"lateWorth":0.2}],
   "policies":[{"name":"grade-a","rate":400,"floorRate":400}],
   "rules":{"askEvery":10000000,"drainGrace":500000,"graceToAnswer":8000,"coldShare":0.18,"warmUp":1000000,
            "tipMultiple":2.0,"overloadFor":2000000},
   "limits":{"tryLimit":3,"cancel":true,"probing":true,"maxRetryAfter":2000000,"connIdle":30000000,
             "dialTimeout":250000},
-  "extra":{"largest":6,"usualUnits":1.0,"shards":4,"coldUnits":10,"changesData":[false,true]},
+  "extra":{"largest":6,"usualUnits":1.0,"shards":4,"coldUnits":10,"changesData":[false,true,false]},
   "telemetry":{"fields":["queue"]}}})";
 }
 
--- a/review/common-2/nbd_lab.h
+++ b/review/common-2/nbd_lab.h
@@ -347,13 +347,18 @@
          R"(,"settings":{"nInstances":1,"discovery":"subscribe","classes":[
   {"name":"layer-pull","aim":200000,"deadline":1200000,"effect":"safe","worth":2,"lateWorth":0.2},
   {"name":"layer-push","aim":250000,"deadline":1200000,)" +
-         effect + R"(,"worth":2,"lateWorth":0.15}],
+         effect + R"(,"worth":2,"lateWorth":0.15})" +
+         (deployment.checksums
+              ? R"(,{"name":"schedule-export","aim":750000,"deadline":2500000,"effect":"safe","worth":1,"lateWorth":0.2})"
+              : "") +
+         R"(],
   "policies":[{"name":"standard","rate":400,"floorRate":400}],
   "rules":{"askEvery":10000000,"drainGrace":1000000,"graceToAnswer":8000,"coldShare":0.2,"warmUp":1000000,
            "tipMultiple":4.0,"overloadFor":1000000},
   "limits":{"tryLimit":4,"cancel":true,"probing":false,"maxRetryAfter":2000000,"connIdle":30000000,
             "dialTimeout":250000},
-  "extra":{"largest":16,"usualUnits":1.0,"shards":4,"coldUnits":10,"changesData":[false,true]},
+  "extra":{"largest":16,"usualUnits":1.0,"shards":4,"coldUnits":10,"changesData":[false,true)" +
+         (deployment.checksums ? ",false" : "") + R"(]},
   "telemetry":{"fields":[]}}})";
 }
 
